--- /dev/null
+++ b/internal/connection/target/doc.go
@@ -0,0 +1,2 @@
+// Package target speaks to the database servers of a group: statements, status and orders.
+package target
--- /dev/null
+++ b/pkg/position/doc.go
@@ -0,0 +1,2 @@
+// Package position names places in the replicated log of a database group.
+package position
