--- /dev/null
+++ b/internal/process/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the INI file of one daemon.
+package settings
