--- /dev/null
+++ b/pkg/event/doc.go
@@ -0,0 +1,2 @@
+// Package event is the time line: what each daemon saw and did, in one order over all processes.
+package event
