--- /dev/null
+++ b/internal/connection/target/conn.go
@@ -0,0 +1,199 @@
+package target
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// Address says where a database server listens and as whom the proxy logs in.
+type Address struct {
+	// HostPort is the server's host:port.
+	HostPort string
+	User     string
+	Database string
+	// Password answers a SCRAM or cleartext request; it may be empty.
+	Password string
+	// TLS encrypts the connection; nil means plain TCP.
+	TLS *tls.Config
+}
+
+// maxAnswer is the longest message taken from a target, in bytes.
+const maxAnswer = 64 << 20
+
+// ErrBroken means that the connection was cut or closed and must not be used again.
+var ErrBroken = errors.New("target connection is broken")
+
+// Conn is one connection to a database server; one goroutine at a time may use it, but Cancel and Close are always safe.
+type Conn struct {
+	address    Address
+	wire       net.Conn
+	front      *pgproto3.Frontend
+	parameters map[string]string
+	key        pgproto3.BackendKeyData
+	prepared   prepared
+	settings   string
+	status     byte
+	broken     atomic.Bool
+}
+
+// Dial opens a connection and logs in; it ends with ctx.
+func Dial(ctx context.Context, a Address) (*Conn, error) {
+	var d net.Dialer
+	wire, err := d.DialContext(ctx, "tcp", a.HostPort)
+	if err != nil {
+		return nil, fmt.Errorf("dial target: %w", err)
+	}
+	c := &Conn{address: a, wire: wire, parameters: map[string]string{}, prepared: newPrepared()}
+	stop := c.Attach(ctx)
+	defer stop()
+	if err := c.open(ctx); err != nil {
+		c.Close()
+		return nil, fmt.Errorf("open target session: %w", err)
+	}
+	return c, nil
+}
+
+func (c *Conn) open(ctx context.Context) error {
+	if c.address.TLS != nil {
+		if err := c.encrypt(ctx); err != nil {
+			return err
+		}
+	}
+	c.front = pgproto3.NewFrontend(c.wire, c.wire)
+	c.front.SetMaxBodyLen(maxAnswer)
+	return c.logIn()
+}
+
+func (c *Conn) encrypt(ctx context.Context) error {
+	msg, err := (&pgproto3.SSLRequest{}).Encode(nil)
+	if err != nil {
+		return fmt.Errorf("encode tls request: %w", err)
+	}
+	if _, err := c.wire.Write(msg); err != nil {
+		return fmt.Errorf("ask for tls: %w", err)
+	}
+	answer := make([]byte, 1)
+	if _, err := c.wire.Read(answer); err != nil {
+		return fmt.Errorf("read tls answer: %w", err)
+	}
+	if answer[0] != 'S' {
+		return errors.New("target refuses tls")
+	}
+	wrapped := tls.Client(c.wire, c.address.TLS)
+	if err := wrapped.HandshakeContext(ctx); err != nil {
+		return fmt.Errorf("tls handshake: %w", err)
+	}
+	c.wire = wrapped
+	return nil
+}
+
+// Attach cuts the connection when ctx ends, until the returned function is called.
+func (c *Conn) Attach(ctx context.Context) func() {
+	if ctx.Done() == nil {
+		return func() {}
+	}
+	wire := c.wire
+	stop := context.AfterFunc(ctx, func() { _ = wire.SetDeadline(time.Unix(1, 0)) })
+	return func() {
+		if !stop() {
+			c.broken.Store(true)
+		}
+	}
+}
+
+// Send buffers a message for the target until Flush.
+func (c *Conn) Send(msg pgproto3.FrontendMessage) { c.front.Send(msg) }
+
+// Flush writes what was buffered; after an error the connection is broken.
+func (c *Conn) Flush() error {
+	if c.broken.Load() {
+		return ErrBroken
+	}
+	if err := c.front.Flush(); err != nil {
+		c.broken.Store(true)
+		return fmt.Errorf("write to target: %w", err)
+	}
+	return nil
+}
+
+// Receive returns the next message, valid until the next call; after an error the connection is broken.
+func (c *Conn) Receive() (pgproto3.BackendMessage, error) {
+	if c.broken.Load() {
+		return nil, ErrBroken
+	}
+	msg, err := c.front.Receive()
+	if err != nil {
+		c.broken.Store(true)
+		return nil, fmt.Errorf("read from target: %w", err)
+	}
+	switch m := msg.(type) {
+	case *pgproto3.ReadyForQuery:
+		c.status = m.TxStatus
+	case *pgproto3.ParameterStatus:
+		c.parameters[m.Name] = m.Value
+	}
+	return msg, nil
+}
+
+// Parameters returns the values that the target reported, by name.
+func (c *Conn) Parameters() map[string]string { return c.parameters }
+
+// TxStatus is the status byte of the last ReadyForQuery: I idle, T in a transaction, E in a failed one.
+func (c *Conn) TxStatus() byte { return c.status }
+
+// Broken reports whether the connection must not be used again.
+func (c *Conn) Broken() bool { return c.broken.Load() }
+
+// Break marks the connection as one whose exchange was cut, so that it is closed and never reused.
+func (c *Conn) Break() { c.broken.Store(true) }
+
+// Settings names the state of the parameters that were set on the connection; empty means as after login.
+func (c *Conn) Settings() string { return c.settings }
+
+// SetSettings notes the state of the parameters.
+func (c *Conn) SetSettings(s string) { c.settings = s }
+
+// Close ends the connection at once.
+func (c *Conn) Close() {
+	c.broken.Store(true)
+	_ = c.wire.Close()
+}
+
+// Cancel asks the target, on a connection of its own, to end what this connection runs.
+func (c *Conn) Cancel(ctx context.Context) error {
+	other := &Conn{address: c.address}
+	var d net.Dialer
+	wire, err := d.DialContext(ctx, "tcp", c.address.HostPort)
+	if err != nil {
+		return fmt.Errorf("dial to cancel: %w", err)
+	}
+	other.wire = wire
+	defer other.Close()
+	defer other.Attach(ctx)()
+	if c.address.TLS != nil {
+		if err := other.encrypt(ctx); err != nil {
+			return err
+		}
+	}
+	return other.sendCancel(c.key)
+}
+
+func (c *Conn) sendCancel(key pgproto3.BackendKeyData) error {
+	msg, err := (&pgproto3.CancelRequest{ProcessID: key.ProcessID, SecretKey: key.SecretKey}).Encode(nil)
+	if err != nil {
+		return fmt.Errorf("encode cancel: %w", err)
+	}
+	if _, err := c.wire.Write(msg); err != nil {
+		return fmt.Errorf("send cancel: %w", err)
+	}
+	// The target closes the connection once the cancel was passed on.
+	_, _ = c.wire.Read(make([]byte, 1))
+	return nil
+}
--- /dev/null
+++ b/internal/connection/target/login.go
@@ -0,0 +1,135 @@
+package target
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+)
+
+// ServerError is an error that the target answered with.
+type ServerError struct {
+	Severity string
+	Code     string
+	Message  string
+}
+
+// Error returns the target's message with its code.
+func (e *ServerError) Error() string {
+	return fmt.Sprintf("target says %s: %s", e.Code, e.Message)
+}
+
+func serverError(m *pgproto3.ErrorResponse) *ServerError {
+	return &ServerError{Severity: m.Severity, Code: m.Code, Message: m.Message}
+}
+
+const scramMechanism = "SCRAM-SHA-256"
+
+func (c *Conn) logIn() error {
+	c.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters: map[string]string{
+			"user":             c.address.User,
+			"database":         c.address.Database,
+			"application_name": "cactusfork",
+		},
+	})
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	for {
+		msg, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		done, err := c.logInStep(msg)
+		if err != nil || done {
+			return err
+		}
+	}
+}
+
+func (c *Conn) logInStep(msg pgproto3.BackendMessage) (bool, error) {
+	switch m := msg.(type) {
+	case *pgproto3.AuthenticationOk, *pgproto3.ParameterStatus, *pgproto3.NoticeResponse:
+		return false, nil
+	case *pgproto3.AuthenticationCleartextPassword:
+		c.Send(&pgproto3.PasswordMessage{Password: c.address.Password})
+		return false, c.Flush()
+	case *pgproto3.AuthenticationSASL:
+		return false, c.scram(m.AuthMechanisms)
+	case *pgproto3.BackendKeyData:
+		c.key.ProcessID = m.ProcessID
+		c.key.SecretKey = append([]byte(nil), m.SecretKey...)
+		return false, nil
+	case *pgproto3.ReadyForQuery:
+		return true, nil
+	case *pgproto3.ErrorResponse:
+		return false, serverError(m)
+	default:
+		return false, fmt.Errorf("unexpected %T at login", msg)
+	}
+}
+
+func (c *Conn) scram(mechanisms []string) error {
+	if !contains(mechanisms, scramMechanism) {
+		return errors.New("target offers no known sasl mechanism")
+	}
+	client, err := scram.SHA256.NewClient(c.address.User, c.address.Password, "")
+	if err != nil {
+		return fmt.Errorf("start scram: %w", err)
+	}
+	talk := client.NewConversation()
+	first, err := talk.Step("")
+	if err != nil {
+		return fmt.Errorf("scram first step: %w", err)
+	}
+	c.Send(&pgproto3.SASLInitialResponse{AuthMechanism: scramMechanism, Data: []byte(first)})
+	challenge, err := c.scramAnswer()
+	if err != nil {
+		return err
+	}
+	second, err := talk.Step(challenge)
+	if err != nil {
+		return fmt.Errorf("scram second step: %w", err)
+	}
+	c.Send(&pgproto3.SASLResponse{Data: []byte(second)})
+	proof, err := c.scramAnswer()
+	if err != nil {
+		return err
+	}
+	if _, err := talk.Step(proof); err != nil {
+		return fmt.Errorf("scram proof of target: %w", err)
+	}
+	return nil
+}
+
+func (c *Conn) scramAnswer() (string, error) {
+	if err := c.Flush(); err != nil {
+		return "", err
+	}
+	msg, err := c.Receive()
+	if err != nil {
+		return "", err
+	}
+	switch m := msg.(type) {
+	case *pgproto3.AuthenticationSASLContinue:
+		return string(m.Data), nil
+	case *pgproto3.AuthenticationSASLFinal:
+		return string(m.Data), nil
+	case *pgproto3.ErrorResponse:
+		return "", serverError(m)
+	default:
+		return "", fmt.Errorf("unexpected %T in scram", msg)
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/connection/target/pool.go
@@ -0,0 +1,213 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// ErrPoolClosed means that the pool hands out no more connections.
+var ErrPoolClosed = errors.New("pool is closed")
+
+// PoolConfig bounds a pool.
+type PoolConfig struct {
+	// Minimum is how many connections Warm keeps open.
+	Minimum int
+	// Maximum is how many connections may be open at once.
+	Maximum int
+	// IdleLimit is how long an unused connection above the minimum stays open; 0 means for ever.
+	IdleLimit clock.Millis
+	// Clock tells the time.
+	Clock *clock.Clock
+	// Dial opens a connection; the package's Dial when nil.
+	Dial func(ctx context.Context, a Address) (*Conn, error)
+}
+
+// Counts is how many connections a pool has.
+type Counts struct {
+	Open int
+	Idle int
+}
+
+// Pool keeps connections to one target for one user and database.
+type Pool struct {
+	address Address
+	mu      sync.Mutex
+	cfg     PoolConfig
+	idle    []resting
+	open    int
+	closed  bool
+	// freed is closed and replaced whenever a connection or a place becomes free.
+	freed chan struct{}
+}
+
+type resting struct {
+	conn  *Conn
+	since clock.Millis
+}
+
+// NewPool returns an empty pool.
+func NewPool(a Address, cfg PoolConfig) *Pool {
+	if cfg.Dial == nil {
+		cfg.Dial = Dial
+	}
+	return &Pool{address: a, cfg: cfg, freed: make(chan struct{})}
+}
+
+// Get returns an idle connection, opens one, or waits for one until ctx ends.
+func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+	for {
+		c, wait, err := p.take()
+		if err != nil || c != nil {
+			return c, err
+		}
+		if wait == nil {
+			return p.dial(ctx)
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, fmt.Errorf("wait for target connection: %w", ctx.Err())
+		}
+	}
+}
+
+// take returns an idle connection, or what to wait for, or neither when one may be opened.
+func (p *Pool) take() (*Conn, <-chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, nil, ErrPoolClosed
+	}
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1].conn
+		p.idle = p.idle[:n-1]
+		return c, nil, nil
+	}
+	if p.open >= p.cfg.Maximum {
+		return nil, p.freed, nil
+	}
+	p.open++
+	return nil, nil, nil
+}
+
+// dial opens a connection for a place that was counted already.
+func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+	c, err := p.cfg.Dial(ctx, p.address)
+	if err != nil {
+		p.leave(nil)
+		return nil, err
+	}
+	return c, nil
+}
+
+// Put gives a connection back; a broken one, or one in the midst of an exchange, is closed.
+func (p *Pool) Put(c *Conn) {
+	if c.Broken() || c.TxStatus() != 'I' {
+		p.leave(c)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.open > p.cfg.Maximum {
+		p.drop(c)
+		return
+	}
+	p.idle = append(p.idle, resting{conn: c, since: p.cfg.Clock.Now()})
+	p.signal()
+}
+
+// Warm opens connections up to the minimum.
+func (p *Pool) Warm(ctx context.Context) error {
+	for p.reserve() {
+		c, err := p.dial(ctx)
+		if err != nil {
+			return fmt.Errorf("warm pool: %w", err)
+		}
+		p.Put(c)
+	}
+	return nil
+}
+
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.open >= min(p.cfg.Minimum, p.cfg.Maximum) {
+		return false
+	}
+	p.open++
+	return true
+}
+
+// Sweep closes connections that were idle for longer than the limit, down to the minimum.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cfg.IdleLimit <= 0 {
+		return
+	}
+	now := p.cfg.Clock.Now()
+	// The longest idle ones are first, since Get takes the latest.
+	for len(p.idle) > 0 && p.open > p.cfg.Minimum && now-p.idle[0].since >= p.cfg.IdleLimit {
+		c := p.idle[0].conn
+		p.idle = p.idle[1:]
+		p.drop(c)
+	}
+}
+
+// Resize changes the bounds; connections above the maximum are closed as they become idle.
+func (p *Pool) Resize(minimum, maximum int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cfg.Minimum = minimum
+	p.cfg.Maximum = maximum
+	for len(p.idle) > 0 && p.open > maximum {
+		c := p.idle[0].conn
+		p.idle = p.idle[1:]
+		p.drop(c)
+	}
+	p.signal()
+}
+
+// Counts returns how many connections are open and how many of them idle.
+func (p *Pool) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Counts{Open: p.open, Idle: len(p.idle)}
+}
+
+// Close closes the idle connections and, as they come back, the others.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, r := range p.idle {
+		r.conn.Close()
+		p.open--
+	}
+	p.idle = nil
+	p.signal()
+}
+
+func (p *Pool) leave(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(c)
+}
+
+// drop closes c, which may be nil, and frees its place; p.mu is held.
+func (p *Pool) drop(c *Conn) {
+	if c != nil {
+		c.Close()
+	}
+	p.open--
+	p.signal()
+}
+
+func (p *Pool) signal() {
+	close(p.freed)
+	p.freed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/connection/target/query.go
@@ -0,0 +1,162 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/position"
+)
+
+// ErrAnswer means that the target's answer does not have the expected shape.
+var ErrAnswer = errors.New("malformed answer of target")
+
+// Place is the answer to PositionQuery.
+type Place struct {
+	// Primary is true while the target takes writes.
+	Primary bool
+	// Applied is the last log record that reads on the target see.
+	Applied position.Point
+}
+
+// row is the single row of text values of an answer.
+type row []string
+
+// Status asks the target what it says of itself.
+func (c *Conn) Status(ctx context.Context) (group.Status, error) {
+	r, err := c.ask(ctx, StatusQuery)
+	if err != nil {
+		return group.Status{}, fmt.Errorf("ask status: %w", err)
+	}
+	return parseStatus(r)
+}
+
+// Position asks the target for its role and the last point applied.
+func (c *Conn) Position(ctx context.Context) (Place, error) {
+	r, err := c.ask(ctx, PositionQuery)
+	if err != nil {
+		return Place{}, fmt.Errorf("ask position: %w", err)
+	}
+	return parsePlace(r)
+}
+
+// SendPosition buffers PositionQuery behind what was buffered before.
+func (c *Conn) SendPosition() { c.Send(&pgproto3.Query{String: PositionQuery}) }
+
+// ReceivePosition reads the answer to PositionQuery up to its ReadyForQuery.
+func (c *Conn) ReceivePosition() (Place, error) {
+	r, err := c.answer()
+	if err != nil {
+		return Place{}, fmt.Errorf("read position: %w", err)
+	}
+	return parsePlace(r)
+}
+
+// Run executes statements that return nothing of interest, in one simple query.
+func (c *Conn) Run(ctx context.Context, sql string) error {
+	_, err := c.ask(ctx, sql)
+	return err
+}
+
+func (c *Conn) ask(ctx context.Context, sql string) (row, error) {
+	defer c.Attach(ctx)()
+	c.Send(&pgproto3.Query{String: sql})
+	if err := c.Flush(); err != nil {
+		return nil, err
+	}
+	return c.answer()
+}
+
+// answer reads one answer up to ReadyForQuery and returns its last row.
+func (c *Conn) answer() (row, error) {
+	var r row
+	var failed error
+	for {
+		msg, err := c.Receive()
+		if err != nil {
+			return nil, err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.DataRow:
+			r = textRow(m)
+		case *pgproto3.ErrorResponse:
+			failed = serverError(m)
+		case *pgproto3.ReadyForQuery:
+			return r, failed
+		}
+	}
+}
+
+func textRow(m *pgproto3.DataRow) row {
+	r := make(row, len(m.Values))
+	for i, v := range m.Values {
+		r[i] = string(v)
+	}
+	return r
+}
+
+const (
+	statusColumns   = 8
+	positionColumns = 3
+)
+
+func parseStatus(r row) (group.Status, error) {
+	if len(r) != statusColumns {
+		return group.Status{}, fmt.Errorf("status of %d columns: %w", len(r), ErrAnswer)
+	}
+	promise, err := number(r[0])
+	if err != nil {
+		return group.Status{}, err
+	}
+	received, err := point(r[4], r[5])
+	if err != nil {
+		return group.Status{}, err
+	}
+	applied, err := point(r[6], r[7])
+	if err != nil {
+		return group.Status{}, err
+	}
+	return group.Status{
+		Promise:   position.Term(promise),
+		Holder:    group.DaemonID(r[1]),
+		Primary:   r[2] == "t",
+		Following: group.TargetID(r[3]),
+		Received:  received,
+		Applied:   applied,
+	}, nil
+}
+
+func parsePlace(r row) (Place, error) {
+	if len(r) != positionColumns {
+		return Place{}, fmt.Errorf("position of %d columns: %w", len(r), ErrAnswer)
+	}
+	p, err := point(r[1], r[2])
+	if err != nil {
+		return Place{}, err
+	}
+	return Place{Primary: r[0] == "t", Applied: p}, nil
+}
+
+func point(term, pos string) (position.Point, error) {
+	t, err := number(term)
+	if err != nil {
+		return position.Point{}, err
+	}
+	n, err := number(pos)
+	if err != nil {
+		return position.Point{}, err
+	}
+	return position.Point{Term: position.Term(t), Position: position.Position(n)}, nil
+}
+
+func number(s string) (uint64, error) {
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("number %q: %w", s, ErrAnswer)
+	}
+	return n, nil
+}
