peer: keep the membership and carry exchanges between daemons

Cause: daemons have to know each other, which objects are published and what others see of a target. Change: a table of members with incarnations, suspicion and bridges between data centres; a mesh that runs it over connect-go.

--- /dev/null
+++ b/internal/process/peer/handler.go
@@ -0,0 +1,73 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"github.com/cactusfork/cactusfork/internal/process/peer/peerv1"
+	"github.com/cactusfork/cactusfork/internal/process/peer/peerv1/peerv1connect"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+)
+
+// Handler returns the path and the handler to mount on the listener for peers.
+func (m *Mesh) Handler() (string, http.Handler) {
+	return peerv1connect.NewPeerServiceHandler(&answerer{m: m},
+		connect.WithReadMaxBytes(maxMessage), connect.WithSendMaxBytes(maxMessage))
+}
+
+// answerer answers what peers ask.
+type answerer struct{ m *Mesh }
+
+var errNoSender = errors.New("heartbeat without a usable sender")
+
+// Exchange takes in a heartbeat and answers with this daemon's.
+func (a *answerer) Exchange(ctx context.Context, req *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+	beat := req.Msg.GetHeartbeat()
+	if !sane(beat.GetSelf()) {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errNoSender)
+	}
+	reply := make(chan beats, 1)
+	if err := a.m.send(ctx, heard{beat: beat, all: req.Msg.GetAll(), reply: reply}); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	b := <-reply
+	return connect.NewResponse(&peerv1.ExchangeResponse{Heartbeat: b.out()}), nil
+}
+
+// Probe exchanges heartbeats with a third daemon on behalf of the asker.
+func (a *answerer) Probe(ctx context.Context, req *connect.Request[peerv1.ProbeRequest]) (*connect.Response[peerv1.ProbeResponse], error) {
+	reply := make(chan beats, 1)
+	id := group.DaemonID(req.Msg.GetId())
+	if err := a.m.send(ctx, compose{to: id, reply: reply}); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	b := <-reply
+	if b.address == "" {
+		return connect.NewResponse(&peerv1.ProbeResponse{}), nil
+	}
+	got, err := a.m.call.exchange(ctx, b.address, b.out(), false)
+	reached := err == nil && got.GetSelf().GetId() == string(id)
+	if reached {
+		_ = a.m.send(ctx, answered{probe: Probe{ID: id, Address: b.address}, beat: got})
+	}
+	return connect.NewResponse(&peerv1.ProbeResponse{Reached: reached}), nil
+}
+
+// View tells what this daemon last saw of a target.
+func (a *answerer) View(_ context.Context, req *connect.Request[peerv1.ViewRequest]) (*connect.Response[peerv1.ViewResponse], error) {
+	v := a.m.seams.View(group.ID(req.Msg.GetGroup()), group.TargetID(req.Msg.GetTarget()))
+	return connect.NewResponse(&peerv1.ViewResponse{
+		Id:    string(a.m.cfg.ID),
+		Reach: peerv1.Reach(v.Reach),
+		AgoMs: int64(v.Ago),
+	}), nil
+}
+
+// Objects returns the published objects that are newer here than at the asker.
+func (a *answerer) Objects(_ context.Context, req *connect.Request[peerv1.ObjectsRequest]) (*connect.Response[peerv1.ObjectsResponse], error) {
+	objects, more := objectsOut(a.m.seams.Objects(heldIn(req.Msg.GetHeld())))
+	return connect.NewResponse(&peerv1.ObjectsResponse{Objects: objects, More: more}), nil
+}
--- /dev/null
+++ b/internal/process/peer/message.go
@@ -0,0 +1,121 @@
+package peer
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cactusfork/cactusfork/internal/process/peer/peerv1"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+)
+
+// message is handled by the goroutine that owns the table.
+type message interface {
+	take(ctx context.Context, m *Mesh)
+}
+
+// heard is a heartbeat that a peer sent.
+type heard struct {
+	beat  *peerv1.Heartbeat
+	all   bool
+	reply chan<- beats
+}
+
+func (h heard) take(ctx context.Context, m *Mesh) {
+	m.takeIn(ctx, h.beat)
+	h.reply <- m.compose(group.DaemonID(h.beat.GetSelf().GetId()), h.all)
+}
+
+// answered is the answer to a probe.
+type answered struct {
+	probe Probe
+	beat  *peerv1.Heartbeat
+}
+
+func (a answered) take(ctx context.Context, m *Mesh) { m.takeIn(ctx, a.beat) }
+
+// missed is a neighbour's silence; others are asked about it.
+type missed struct{ probe Probe }
+
+func (s missed) take(ctx context.Context, m *Mesh) {
+	helpers := m.table.Missed(s.probe.ID)
+	m.work.Go(func() {
+		reached := make([]bool, len(helpers))
+		m.each(helpers, func(i int, h Member) {
+			reached[i], _ = m.call.probe(ctx, h.Address, s.probe)
+		})
+		if !slices.Contains(reached, true) {
+			_ = m.send(ctx, unconfirmed(s))
+		}
+	})
+}
+
+// unconfirmed is a neighbour's silence towards the others asked as well.
+type unconfirmed struct{ probe Probe }
+
+func (u unconfirmed) take(_ context.Context, m *Mesh) {
+	m.table.Unconfirmed(m.clk.Now(), u.probe.ID, u.probe.Incarnation)
+}
+
+// compose asks for a heartbeat to a third daemon, on behalf of another.
+type compose struct {
+	to    group.DaemonID
+	reply chan<- beats
+}
+
+func (c compose) take(_ context.Context, m *Mesh) {
+	b := m.compose(c.to, false)
+	if e, ok := m.table.Entry(c.to); ok && c.to != m.cfg.ID {
+		b.address = e.Address
+	}
+	c.reply <- b
+}
+
+// seeds are addresses where daemons may be.
+type seeds struct{ addresses []string }
+
+func (s seeds) take(ctx context.Context, m *Mesh) {
+	known := map[string]bool{m.cfg.Address: true}
+	for _, p := range m.table.Live(m.clk.Now()) {
+		known[p.Address] = true
+	}
+	fresh := slices.DeleteFunc(slices.Clone(s.addresses), func(a string) bool { return known[a] })
+	m.table.set.Random.Shuffle(len(fresh), func(i, j int) { fresh[i], fresh[j] = fresh[j], fresh[i] })
+	for _, a := range fresh[:min(len(fresh), maxSeeds)] {
+		m.start(ctx, Probe{Kind: Retry, Address: a})
+	}
+}
+
+// leave makes this daemon leave and asks for the heartbeat that says so.
+type leave struct{ reply chan<- beats }
+
+func (l leave) take(_ context.Context, m *Mesh) {
+	m.table.Leave(m.clk.Now())
+	l.reply <- m.compose("", false)
+}
+
+// nudge starts exchanges before the period is over.
+type nudge struct{}
+
+func (nudge) take(ctx context.Context, m *Mesh) {
+	for _, p := range m.nearest(nudged) {
+		m.start(ctx, Probe{Kind: Bridge, ID: p.ID, Address: p.Address})
+	}
+}
+
+// pulled is the end of a fetch of objects.
+type pulled struct {
+	from       group.DaemonID
+	difference [2]uint64
+	err        error
+}
+
+func (p pulled) take(_ context.Context, m *Mesh) {
+	m.pulling = false
+	if p.err != nil || m.seams.Digest().Hash != p.difference[0] {
+		return
+	}
+	if len(m.fruitless) >= maxFruitless {
+		clear(m.fruitless)
+	}
+	m.fruitless[p.from] = p.difference
+}
--- /dev/null
+++ b/internal/process/peer/probe.go
@@ -0,0 +1,205 @@
+package peer
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// ProbeKind tells what the silence of a probed member means.
+type ProbeKind int
+
+// The kinds of probe.
+const (
+	// Neighbour probes watch a member of the own data centre; silence leads to a suspicion.
+	Neighbour ProbeKind = iota + 1
+	// Bridge probes keep another data centre in touch; silence is no sign of a failure.
+	Bridge
+	// Retry probes reach for a member held to be dead.
+	Retry
+)
+
+// Probe is an exchange to be started.
+type Probe struct {
+	Kind    ProbeKind
+	ID      group.DaemonID
+	Address string
+	// Incarnation is the one that a silence is held against.
+	Incarnation Incarnation
+}
+
+// Chooser picks whom of the sorted neighbours self probes in this period.
+type Chooser func(self group.DaemonID, neighbours []group.DaemonID, n int) []group.DaemonID
+
+// RoundRobin goes through the neighbours in an order shuffled anew for each pass.
+func RoundRobin(random *rand.Rand) Chooser {
+	var order []group.DaemonID
+	return func(_ group.DaemonID, neighbours []group.DaemonID, n int) []group.DaemonID {
+		var out []group.DaemonID
+		for tries := len(order) + len(neighbours); tries > 0 && len(out) < min(n, len(neighbours)); tries-- {
+			if len(order) == 0 {
+				order = slices.Clone(neighbours)
+				random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+			}
+			id := order[0]
+			order = order[1:]
+			if _, ok := slices.BinarySearch(neighbours, id); ok && !slices.Contains(out, id) {
+				out = append(out, id)
+			}
+		}
+		return out
+	}
+}
+
+// Ring watches the next n neighbours in the order of their ids, so that each daemon is watched by the n to its left.
+func Ring(self group.DaemonID, neighbours []group.DaemonID, n int) []group.DaemonID {
+	at, _ := slices.BinarySearch(neighbours, self)
+	var out []group.DaemonID
+	for i := range min(n, len(neighbours)) {
+		out = append(out, neighbours[(at+i)%len(neighbours)])
+	}
+	return out
+}
+
+// Tick starts a period: it ends suspicions, forgets, and returns whom to probe.
+func (t *Table) Tick(now clock.Millis) (probes []Probe, changed bool) {
+	t.ticks++
+	changed = t.expire(now)
+	if t.self.State == Left {
+		return nil, changed
+	}
+	here := t.liveIn(t.self.DataCentre)
+	for _, id := range t.set.Choose(t.self.ID, here, t.set.Fanout) {
+		probes = append(probes, t.probe(Neighbour, id))
+	}
+	if slices.Contains(t.bridges(t.self.DataCentre), t.self.ID) {
+		t.beat(now)
+		probes = append(probes, t.probeBridges()...)
+	}
+	return append(probes, t.probeDead()...), changed
+}
+
+func (t *Table) probe(k ProbeKind, id group.DaemonID) Probe {
+	e := t.entries[id]
+	return Probe{Kind: k, ID: id, Address: e.Address, Incarnation: e.Incarnation}
+}
+
+// expire ends overdue suspicions and forgets members that are long gone.
+func (t *Table) expire(now clock.Millis) bool {
+	changed := false
+	for id, e := range t.entries {
+		age := now - e.Since
+		switch {
+		case e.State == Suspect && e.DataCentre == t.self.DataCentre && age >= t.periods(t.set.SuspectFor):
+			t.enter(now, e, Dead)
+			changed = true
+		case !e.live() && age >= t.periods(t.set.RememberFor):
+			delete(t.entries, id)
+			delete(t.rumours, id)
+		}
+	}
+	return changed
+}
+
+// liveIn returns the ids of the other live members of a data centre, sorted.
+func (t *Table) liveIn(dc group.DataCentre) []group.DaemonID {
+	var out []group.DaemonID
+	for id, e := range t.entries {
+		if e.live() && e.DataCentre == dc {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// bridges returns the daemons of a data centre that keep it in touch with the others.
+func (t *Table) bridges(dc group.DataCentre) []group.DaemonID {
+	ids := t.liveIn(dc)
+	if dc == t.self.DataCentre {
+		ids = append(ids, t.self.ID)
+	}
+	return Rendezvous(string(dc), ids, t.set.Bridges)
+}
+
+// Rendezvous returns the n ids that rank highest for key; a change of the ids moves no more of them than it must.
+func Rendezvous(key string, ids []group.DaemonID, n int) []group.DaemonID {
+	out := slices.Clone(ids)
+	slices.SortFunc(out, func(a, b group.DaemonID) int {
+		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a, b))
+	})
+	return out[:min(n, len(out))]
+}
+
+func weight(key string, id group.DaemonID) uint64 {
+	return xxhash.Sum64String(key + "/" + string(id))
+}
+
+// probeBridges picks one bridge of each other data centre, a different one each period.
+func (t *Table) probeBridges() []Probe {
+	var out []Probe
+	for _, dc := range t.otherCentres() {
+		if ids := t.bridges(dc); len(ids) > 0 {
+			out = append(out, t.probe(Bridge, ids[t.ticks%uint64(len(ids))]))
+		}
+	}
+	return out
+}
+
+func (t *Table) otherCentres() []group.DataCentre {
+	var out []group.DataCentre
+	for _, e := range t.entries {
+		if e.live() && e.DataCentre != t.self.DataCentre && !slices.Contains(out, e.DataCentre) {
+			out = append(out, e.DataCentre)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// probeDead picks a dead member now and then, in case it was only cut off.
+func (t *Table) probeDead() []Probe {
+	if t.ticks%uint64(t.set.RetryEvery) != 0 {
+		return nil
+	}
+	var dead []group.DaemonID
+	for id, e := range t.entries {
+		if e.State == Dead {
+			dead = append(dead, id)
+		}
+	}
+	if len(dead) == 0 {
+		return nil
+	}
+	slices.Sort(dead)
+	return []Probe{t.probe(Retry, dead[t.set.Random.IntN(len(dead))])}
+}
+
+// Missed returns whom to ask about a neighbour that did not answer.
+func (t *Table) Missed(id group.DaemonID) []Member {
+	e, ok := t.entries[id]
+	if !ok || !e.live() {
+		return nil
+	}
+	here := t.liveIn(t.self.DataCentre)
+	here = slices.DeleteFunc(here, func(h group.DaemonID) bool { return h == id || t.entries[h].State != Alive })
+	t.set.Random.Shuffle(len(here), func(i, j int) { here[i], here[j] = here[j], here[i] })
+	var out []Member
+	for _, h := range here[:min(len(here), t.set.Helpers)] {
+		out = append(out, t.entries[h].Member)
+	}
+	return out
+}
+
+// Unconfirmed suspects a neighbour that neither this daemon nor the others asked have reached.
+func (t *Table) Unconfirmed(now clock.Millis, id group.DaemonID, in Incarnation) {
+	e, ok := t.entries[id]
+	if ok && e.State == Alive && e.Incarnation == in {
+		t.enter(now, e, Suspect)
+	}
+}
