--- /dev/null
+++ b/internal/process/config/budget.go
@@ -0,0 +1,38 @@
+package config
+
+import (
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// ErrBudget is returned for a call to the platform that was not made, for want of budget.
+var ErrBudget = errors.New("no budget left for calls to the platform")
+
+// budget is a token bucket over calls to the platform.
+type budget struct {
+	clk     *clock.Clock
+	bucket  *rate.Limiter
+	calls   atomic.Uint64
+	refused atomic.Uint64
+}
+
+func newBudget(clk *clock.Clock, perSecond float64, burst int) *budget {
+	return &budget{clk: clk, bucket: rate.NewLimiter(rate.Limit(perSecond), burst)}
+}
+
+// take pays for one call, or returns ErrBudget.
+func (b *budget) take() error {
+	// The bucket counts time from any start, as the clock does.
+	now := time.Unix(0, 0).Add(b.clk.Now().Duration())
+	if !b.bucket.AllowN(now, 1) {
+		b.refused.Add(1)
+		return ErrBudget
+	}
+	b.calls.Add(1)
+	return nil
+}
