group: add the state machine of a change of primary

Each daemon feeds typed events to one machine per group and carries out its actions. No tests yet; they follow with the model of targets and platform.

--- /dev/null
+++ b/internal/version/group/change.go
@@ -0,0 +1,171 @@
+package group
+
+import (
+	"slices"
+
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/position"
+)
+
+// phase is how far a change has come.
+type phase int
+
+const (
+	fencing phase = iota + 1
+	recording
+	promoting
+)
+
+// change is a change of primary that this daemon carries out; one change makes one target primary at most.
+type change struct {
+	term   position.Term
+	phase  phase
+	since  clock.Millis
+	orders map[TargetID]*sentOrder
+	fenced map[TargetID]Status
+	// refused are the targets that promised this term to another holder.
+	refused  map[TargetID]bool
+	fencedAt clock.Millis
+	chosen   Target
+	settling bool
+}
+
+type sentOrder struct {
+	at         clock.Millis
+	unanswered bool
+}
+
+func (m *Machine) startChange(c cause) {
+	term := max(m.highestPromise(), m.rec.Term, m.leader.term, m.lastTerm) + 1
+	m.lastTerm = term
+	m.change = &change{
+		term:    term,
+		phase:   fencing,
+		since:   m.now,
+		orders:  map[TargetID]*sentOrder{},
+		fenced:  map[TargetID]Status{},
+		refused: map[TargetID]bool{},
+	}
+	m.report(ReportStarted, m.leader.id, term, string(c))
+	m.drive()
+}
+
+// drive takes the change under way as far as it gets.
+func (m *Machine) drive() {
+	if m.change == nil || m.overtaken() {
+		return
+	}
+	switch m.change.phase {
+	case fencing:
+		m.fence()
+	case recording:
+		m.awaitRecord()
+	case promoting:
+		m.promote()
+	}
+}
+
+// overtaken ends the change when a primary of its term or of a higher one is known.
+func (m *Machine) overtaken() bool {
+	c := m.change
+	switch {
+	case m.leader.seen && m.leader.term == c.term:
+		m.promotedTerm = c.term
+		m.report(ReportPromoted, m.leader.id, c.term, "")
+		m.change = nil
+	case m.leader.term > c.term:
+		m.abandon("a higher term is known")
+	case m.rec.Term == c.term && !c.owns(m.rec):
+		m.abandon("the record names another primary of this term")
+	}
+	return m.change == nil
+}
+
+// owns reports whether rec is the record of this change.
+func (c *change) owns(rec Record) bool {
+	return c.phase > fencing && rec.Term == c.term && rec.Primary == c.chosen.ID
+}
+
+// enter starts the next phase.
+func (m *Machine) enter(p phase) {
+	m.change.phase = p
+	m.change.since = m.now
+	m.change.orders = map[TargetID]*sentOrder{}
+}
+
+// abandon gives the change up; the next attempt waits longer each time.
+func (m *Machine) abandon(why string) {
+	m.report(ReportAbandoned, m.change.chosen.ID, m.change.term, why)
+	m.change = nil
+	d := m.s.BackoffMin << min(m.trigger.attempts, 16)
+	d = min(d, m.s.BackoffMax)
+	m.trigger.attempts++
+	m.trigger.nextTry = m.now + d/2 + m.jitter(d)
+}
+
+// send gives an order of the change to a target, unless it was sent lately.
+func (m *Machine) send(to TargetID, k OrderKind) {
+	c := m.change
+	o := c.orders[to]
+	if o != nil {
+		wait := m.s.ProbeInterval
+		if o.unanswered {
+			wait = m.s.OrderTimeout
+		}
+		if m.now-o.at < wait {
+			return
+		}
+	}
+	c.orders[to] = &sentOrder{at: m.now, unanswered: true}
+	order := Order{Kind: k, Term: c.term, Holder: m.holder}
+	if k == Promote {
+		order.Primary = c.chosen
+	}
+	m.do(SendOrder{Target: to, Order: order})
+}
+
+func (m *Machine) ordered(e Ordered) {
+	t := m.members[e.Target]
+	if t == nil {
+		return
+	}
+	c := m.change
+	ours := c != nil && e.Order.Term == c.term && e.Order.Holder == m.holder
+	if ours && c.orders[e.Target] != nil {
+		c.orders[e.Target].unanswered = false
+	}
+	switch e.Outcome {
+	case OrderOK:
+		m.noteFenced(e.Target, e.Status)
+		t.observe(0, e.Status)
+		if e.Order.Kind == Follow {
+			m.report(ReportFollowed, e.Target, e.Order.Term, string(e.Order.Primary.ID))
+		}
+	case OrderOutranked:
+		t.outrankedBy(e.Promise, e.Holder)
+		if ours {
+			m.outranked(e)
+		}
+	}
+}
+
+// outranked gives the change up when a higher term is promised, or when too many promised this one to another.
+func (m *Machine) outranked(e Ordered) {
+	c := m.change
+	if e.Promise > c.term {
+		m.abandon("outranked by a higher term")
+		return
+	}
+	if e.Holder == m.holder {
+		return
+	}
+	c.refused[e.Target] = true
+	if len(m.rec.Targets)-len(c.refused) < m.rec.Majority() {
+		m.abandon("outranked by another holder")
+	}
+}
+
+// sameTargets reports whether two records have the same members.
+func sameTargets(a, b Record) bool {
+	return slices.EqualFunc(a.Targets, b.Targets, func(x, y Target) bool { return x.ID == y.ID })
+}
--- a/internal/version/group/types.go
+++ b/internal/version/group/types.go
@@ -52,7 +52,7 @@
 	Promise position.Term
 	// Holder is the daemon whose order carried Promise.
 	Holder DaemonID
-	// Primary is true while the target takes writes.
+	// Primary is true while the target takes writes; Received.Term is then the term it was promoted at, from the first moment on, whatever it has promised since.
 	Primary bool
 	// Following names the primary whose log streams in; empty when none does.
 	Following TargetID
--- /dev/null
+++ b/internal/version/group/view.go
@@ -0,0 +1,62 @@
+package group
+
+import (
+	"slices"
+
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/position"
+)
+
+// TargetState is what this daemon knows of one target.
+type TargetState struct {
+	Target
+	Status Status
+	// AskedAt is when the question was sent that Status answers, by the local clock; 0 when there was no answer yet.
+	AskedAt clock.Millis
+	// Down is true while the target does not answer.
+	Down bool
+	// Leaving is true while the target's VM is marked as leaving.
+	Leaving bool
+}
+
+// View is an immutable copy of a machine's state.
+type View struct {
+	Record  Record
+	Version uint64
+	Targets []TargetState
+	// Changing is true from the moment the primary is held to have failed until the next one is known to take writes.
+	Changing bool
+	// Primary may take writes of Term now; empty while Changing.
+	Primary TargetID
+	// Term is the highest term that is known to have a primary.
+	Term position.Term
+}
+
+// View copies the state for those who route by it.
+func (m *Machine) View() View {
+	v := View{Record: m.rec, Version: m.version, Term: m.leader.term}
+	v.Record.Targets = slices.Clone(m.rec.Targets)
+	for _, t := range m.rec.Targets {
+		o := m.members[t.ID]
+		v.Targets = append(v.Targets, TargetState{
+			Target:  t,
+			Status:  o.status,
+			AskedAt: o.askedAt,
+			Down:    o.down,
+			Leaving: o.leaving,
+		})
+	}
+	v.Changing = m.changing()
+	if !v.Changing {
+		v.Primary = m.leader.id
+	}
+	return v
+}
+
+func (m *Machine) changing() bool {
+	t := m.members[m.leader.id]
+	if t == nil || m.change != nil || t.confirmed || m.stall.cutOff || m.blocked() {
+		return true
+	}
+	return t.known && t.status.writes() != m.leader.term
+}
