--- a/internal/request/route/view.go
+++ b/internal/request/route/view.go
@@ -19,6 +19,8 @@
 	Leaving bool
 	// Busy is the number of statements that this daemon has at work there.
 	Busy int
+	// Writes is the number of writes that this daemon has at work or waiting there.
+	Writes int
 }
 
 // Sample is a point at or past every write acknowledged before AskedAt: the highest received point over a majority of the group that answered a question asked at AskedAt or later.
@@ -44,4 +46,10 @@
 	Floor position.Point
 	// DataCentre is where this daemon runs; targets there are preferred.
 	DataCentre group.DataCentre
+	// Arrived is when the request came in; a read with no stated age needs a sample asked at or after it.
+	Arrived clock.Millis
+	// Fresh is a sample fetched for this read beside those of the view; the zero value is none.
+	Fresh Sample
+	// Deadline is when the caller gives up; 0 means never.
+	Deadline clock.Millis
 }
