--- a/internal/standin/target/execute.go
+++ b/internal/standin/target/execute.go
@@ -13,7 +13,7 @@
 }
 
 // execute runs one statement in whatever transaction the session is in.
-func (s *session) execute(st *statement, args []driver.Value) (*result, error) {
+func (s *session) execute(ctx context.Context, st *statement, args []driver.Value) (*result, error) {
 	if s.failed && !endsFailure(st) {
 		return nil, fail(codeFailedTransaction, transactionIsAborted)
 	}
@@ -29,12 +29,12 @@
 	case rollbackStatement:
 		return s.endBlock(false)
 	case savepointStatement:
-		return s.savepoint(st)
+		return s.savepoint(ctx, st)
 	case settingStatement:
 		s.setIdleTimeout(st.text)
 		return &result{}, nil
 	}
-	return s.work(st, args)
+	return s.work(ctx, st, args)
 }
 
 func endsFailure(st *statement) bool {
@@ -57,7 +57,7 @@
 	return &result{tag: "COMMIT"}, s.commit()
 }
 
-func (s *session) savepoint(st *statement) (*result, error) {
+func (s *session) savepoint(ctx context.Context, st *statement) (*result, error) {
 	if !s.block {
 		return nil, fail("25P01", "%s can only be used in transaction blocks", st.verb)
 	}
@@ -65,7 +65,7 @@
 		s.failed = false
 		return &result{}, nil
 	}
-	res, err := s.work(st, nil)
+	res, err := s.work(ctx, st, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -80,10 +80,10 @@
 }
 
 // statementContext ends with the session, a cancel request or the call of done.
-func (s *session) statementContext() (ctx context.Context, done func()) {
-	ctx, cancel := context.WithCancel(s.ctx)
+func (s *session) statementContext(ctx context.Context) (statement context.Context, done func()) {
+	statement, cancel := context.WithCancel(ctx)
 	s.setInterrupt(cancel)
-	return ctx, func() {
+	return statement, func() {
 		s.setInterrupt(nil)
 		cancel()
 	}
@@ -96,13 +96,13 @@
 }
 
 // work runs a read or a write in a slot.
-func (s *session) work(st *statement, args []driver.Value) (*result, error) {
+func (s *session) work(ctx context.Context, st *statement, args []driver.Value) (*result, error) {
 	if !s.t.takeSlot() {
 		s.t.refused.Add(1)
 		return nil, fail(codeTooManyConnections, noFreeSlot)
 	}
 	defer s.t.giveSlot()
-	ctx, done := s.statementContext()
+	ctx, done := s.statementContext(ctx)
 	defer done()
 	if d := s.t.cfg.StatementTime; d > 0 {
 		if err := s.t.n.clk.Sleep(ctx, d); err != nil {
--- a/internal/standin/target/extended.go
+++ b/internal/standin/target/extended.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"context"
 	"database/sql/driver"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -22,16 +23,16 @@
 }
 
 // extended answers the messages of the extended query protocol.
-func (s *session) extended(msg pgproto3.FrontendMessage) error {
+func (s *session) extended(ctx context.Context, msg pgproto3.FrontendMessage) error {
 	switch m := msg.(type) {
 	case *pgproto3.Parse:
 		return s.parse(m)
 	case *pgproto3.Bind:
 		return s.bind(m)
 	case *pgproto3.Describe:
-		return s.describe(m)
+		return s.describe(ctx, m)
 	case *pgproto3.Execute:
-		return s.executePortal(m)
+		return s.executePortal(ctx, m)
 	case *pgproto3.Close:
 		return s.closeObject(m)
 	}
@@ -83,24 +84,24 @@
 	return nil, fail(codeInvalidPortal, "portal %q does not exist", name)
 }
 
-func (s *session) describe(m *pgproto3.Describe) error {
+func (s *session) describe(ctx context.Context, m *pgproto3.Describe) error {
 	if m.ObjectType == 'P' {
 		p, err := s.portal(m.Name)
 		if err != nil {
 			return err
 		}
-		return s.describeColumns(p.prepared, p.formats)
+		return s.describeColumns(ctx, p.prepared, p.formats)
 	}
 	p := s.prepared[m.Name]
 	if p == nil {
 		return fail(codeInvalidStatement, "prepared statement %q does not exist", m.Name)
 	}
 	s.wire.Send(&pgproto3.ParameterDescription{ParameterOIDs: p.oids})
-	return s.describeColumns(p, nil)
+	return s.describeColumns(ctx, p, nil)
 }
 
-func (s *session) describeColumns(p *prepared, formats []int16) error {
-	columns, err := s.columns(p)
+func (s *session) describeColumns(ctx context.Context, p *prepared, formats []int16) error {
+	columns, err := s.columns(ctx, p)
 	if err != nil {
 		return err
 	}
@@ -113,7 +114,7 @@
 }
 
 // columns finds the result columns of a statement before it runs.
-func (s *session) columns(p *prepared) ([]column, error) {
+func (s *session) columns(ctx context.Context, p *prepared) ([]column, error) {
 	if p.st == nil {
 		return nil, nil
 	}
@@ -127,7 +128,7 @@
 	if s.failed {
 		return nil, fail(codeFailedTransaction, transactionIsAborted)
 	}
-	ctx, done := s.statementContext()
+	ctx, done := s.statementContext(ctx)
 	defer done()
 	unlock, err := s.hold(ctx)
 	if err != nil {
@@ -137,7 +138,7 @@
 	return s.t.db.describe(p.st.sql)
 }
 
-func (s *session) executePortal(m *pgproto3.Execute) error {
+func (s *session) executePortal(ctx context.Context, m *pgproto3.Execute) error {
 	p, err := s.portal(m.Portal)
 	if err != nil {
 		return err
@@ -147,7 +148,7 @@
 		return nil
 	}
 	if p.res == nil {
-		res, err := s.execute(p.st, p.args)
+		res, err := s.execute(ctx, p.st, p.args)
 		if err != nil {
 			return err
 		}
--- a/internal/standin/target/session.go
+++ b/internal/standin/target/session.go
@@ -76,7 +76,7 @@
 	if !s.startUp() {
 		return
 	}
-	s.loop()
+	s.loop(ctx)
 }
 
 func (s *session) close() {
@@ -150,7 +150,7 @@
 }
 
 // loop answers messages until the session ends.
-func (s *session) loop() {
+func (s *session) loop(ctx context.Context) {
 	in, next := make(chan pgproto3.FrontendMessage), make(chan struct{})
 	var reader sync.WaitGroup
 	defer reader.Wait()
@@ -159,7 +159,7 @@
 	for {
 		msg, err := s.next(in)
 		if err == nil {
-			err = s.handle(msg)
+			err = s.handle(ctx, msg)
 		}
 		if err != nil {
 			s.leave(err)
@@ -228,7 +228,7 @@
 }
 
 // handle answers one message; an error ends the session.
-func (s *session) handle(msg pgproto3.FrontendMessage) error {
+func (s *session) handle(ctx context.Context, msg pgproto3.FrontendMessage) error {
 	if !s.current() {
 		return fatal(codeShutdown, endedByChangeOfRole)
 	}
@@ -238,7 +238,7 @@
 		return context.Canceled
 	case *pgproto3.Query:
 		s.skip = false
-		return s.query(m.String)
+		return s.query(ctx, m.String)
 	case *pgproto3.Sync:
 		s.skip = false
 		return s.sync()
@@ -248,7 +248,7 @@
 		if s.skip {
 			return nil
 		}
-		err = s.extended(msg)
+		err = s.extended(ctx, msg)
 	}
 	if err == nil {
 		return nil
@@ -305,14 +305,14 @@
 }
 
 // query runs the statements of a simple query as one implicit transaction.
-func (s *session) query(text string) error {
+func (s *session) query(ctx context.Context, text string) error {
 	statements := split(text)
 	if len(statements) == 0 {
 		s.wire.Send(&pgproto3.EmptyQueryResponse{})
 	}
 	s.several = len(statements) > 1
 	for i := range statements {
-		if err := s.answer(&statements[i]); err != nil {
+		if err := s.answer(ctx, &statements[i]); err != nil {
 			if err := s.refuse(err); err != nil {
 				return err
 			}
@@ -323,11 +323,11 @@
 	return s.sync()
 }
 
-func (s *session) answer(st *statement) error {
+func (s *session) answer(ctx context.Context, st *statement) error {
 	if st.parameters > 0 {
 		return fail(codeProtocol, "a simple query has no parameters")
 	}
-	res, err := s.execute(st, nil)
+	res, err := s.execute(ctx, st, nil)
 	if err != nil {
 		return err
 	}
