--- /dev/null
+++ b/internal/request/admission/queue.go
@@ -0,0 +1,204 @@
+package admission
+
+import (
+	"container/heap"
+	"slices"
+
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+const (
+	// AgingBound is the number of items that may run ahead of a waiting class.
+	AgingBound = 8
+	// writeShare is the part of the places, one in so many, that reads leave to writes.
+	writeShare = 4
+)
+
+// ID names a waiting item; the owner of the queue gives it.
+type ID uint64
+
+// Kind tells reads from writes.
+type Kind int
+
+// The kinds of item.
+const (
+	Read Kind = iota
+	Write
+)
+
+// Item is a request that waits for a slot.
+type Item struct {
+	ID     ID
+	Weight int
+	// Deadline is when the item is no longer worth running; 0 means never.
+	Deadline clock.Millis
+	Kind     Kind
+}
+
+// expired reports whether the item is not worth running at now.
+func (i Item) expired(now clock.Millis) bool { return i.Deadline != 0 && i.Deadline <= now }
+
+// Queue holds the requests that wait for one target, bounded, without a clock of its own.
+type Queue struct {
+	places  int
+	classes []*class // heaviest first
+	reads   int
+	writes  int
+	seq     uint64
+}
+
+// NewQueue returns a queue of at most that many places.
+func NewQueue(places int) *Queue { return &Queue{places: places} }
+
+// Len is the number of waiting items.
+func (q *Queue) Len() int { return q.reads + q.writes }
+
+// Writes is the number of waiting writes.
+func (q *Queue) Writes() int { return q.writes }
+
+// Push adds i and returns the items that are refused for it, which may be i itself or have expired.
+func (q *Queue) Push(now clock.Millis, i Item) []Item {
+	if i.expired(now) {
+		return []Item{i}
+	}
+	if !q.full(i.Kind) {
+		q.add(i)
+		return nil
+	}
+	if gone := q.Expire(now); len(gone) > 0 {
+		return append(gone, q.Push(now, i)...)
+	}
+	c, kind := q.lowest(i.Kind)
+	if c == nil || !yields(c.weight, kind, i) {
+		return []Item{i}
+	}
+	out := q.take(c, kind, c.line(kind).last())
+	q.add(i)
+	return []Item{out}
+}
+
+// full reports whether an item of kind k has no place.
+func (q *Queue) full(k Kind) bool {
+	return q.Len() >= q.places || k == Read && q.readsFull()
+}
+
+func (q *Queue) readsFull() bool { return q.reads >= q.places-q.places/writeShare }
+
+// yields reports whether a waiting item gives its place to i: a lighter one, or a read to a write of its weight.
+func yields(weight int, kind Kind, i Item) bool {
+	if weight != i.Weight {
+		return weight < i.Weight
+	}
+	return kind == Read && i.Kind == Write
+}
+
+// lowest returns where to refuse first for an item of kind k; once reads have all their places, a read displaces only reads.
+func (q *Queue) lowest(k Kind) (*class, Kind) {
+	for _, c := range slices.Backward(q.classes) {
+		if len(c.reads) > 0 {
+			return c, Read
+		}
+		if len(c.writes) > 0 && (k == Write || !q.readsFull()) {
+			return c, Write
+		}
+	}
+	return nil, Read
+}
+
+// Pop returns the item to run now and the items found expired, which do not run; it reports false when none is left.
+func (q *Queue) Pop(now clock.Millis) (next Item, expired []Item, ok bool) {
+	expired = q.Expire(now)
+	c := q.turn()
+	if c == nil {
+		return Item{}, expired, false
+	}
+	for _, other := range q.classes {
+		if !other.empty() {
+			other.passed++
+		}
+	}
+	c.passed = 0
+	next = c.next()
+	q.count(next.Kind, -1)
+	return next, expired, true
+}
+
+// turn returns the heaviest waiting class, unless another was passed AgingBound times.
+func (q *Queue) turn() *class {
+	var heaviest, aged *class
+	for _, c := range q.classes {
+		if c.empty() {
+			continue
+		}
+		if heaviest == nil {
+			heaviest = c
+		}
+		if c.passed >= AgingBound && (aged == nil || c.passed > aged.passed) {
+			aged = c
+		}
+	}
+	if aged != nil {
+		return aged
+	}
+	return heaviest
+}
+
+// Expire removes and returns the items whose deadline has passed.
+func (q *Queue) Expire(now clock.Millis) []Item {
+	var gone []Item
+	for _, c := range q.classes {
+		for _, kind := range []Kind{Read, Write} {
+			l := c.line(kind)
+			for len(*l) > 0 && (*l)[0].expired(now) {
+				gone = append(gone, q.take(c, kind, 0))
+			}
+		}
+	}
+	return gone
+}
+
+// Remove takes out the item named id, and reports whether it still waited.
+func (q *Queue) Remove(id ID) bool {
+	for _, c := range q.classes {
+		for _, kind := range []Kind{Read, Write} {
+			at := slices.IndexFunc(*c.line(kind), func(e entry) bool { return e.ID == id })
+			if at >= 0 {
+				q.take(c, kind, at)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (q *Queue) take(c *class, kind Kind, at int) Item {
+	i := c.line(kind).take(at)
+	q.count(kind, -1)
+	if c.empty() {
+		c.passed = 0
+	}
+	return i
+}
+
+func (q *Queue) add(i Item) {
+	q.seq++
+	heap.Push(q.class(i.Weight).line(i.Kind), entry{i, q.seq})
+	q.count(i.Kind, 1)
+}
+
+func (q *Queue) count(k Kind, n int) {
+	if k == Write {
+		q.writes += n
+		return
+	}
+	q.reads += n
+}
+
+// class returns the class of a weight, and makes it at first.
+func (q *Queue) class(weight int) *class {
+	at, found := slices.BinarySearchFunc(q.classes, weight, func(c *class, w int) int { return w - c.weight })
+	if !found {
+		q.classes = slices.Insert(q.classes, at, &class{weight: weight})
+	}
+	return q.classes[at]
+}
