--- /dev/null
+++ b/internal/request/limit/doc.go
@@ -0,0 +1,2 @@
+// Package limit divides a target's slots among the daemons without a coordinator.
+package limit
