platform: speak the object API and stand in for it

Daemons need the platform's conditional updates, watches and VM list, and tests need one that fails in known ways. An update whose answer is lost is settled by reading back and by repeating it on the same condition.

--- /dev/null
+++ b/internal/process/platform/http_test.go
@@ -0,0 +1,291 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/cactusfork/cactusfork/internal/process/platform"
+	standin "github.com/cactusfork/cactusfork/internal/standin/platform"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+const key platform.Key = "groups/precios db-1"
+
+func setUp(t *testing.T, cfg standin.Config) (context.Context, *standin.Server, *platform.Store) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	srv, err := standin.Start(ctx, cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ctx, srv, platform.Dial(platform.Config{URL: srv.URL()}, clock.System())
+}
+
+func TestConditionalUpdates(t *testing.T) {
+	ctx, _, s := setUp(t, standin.Config{})
+	first, err := s.Put(ctx, key, []byte("one"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name      string
+		ifVersion platform.Version
+		want      error
+	}{
+		{"exists already", 0, platform.ErrConflict},
+		{"right version", first, nil},
+		{"old version", first, platform.ErrConflict},
+		{"version to come", first + 9, platform.ErrConflict},
+	}
+	for _, tt := range tests {
+		if _, err := s.Put(ctx, key, []byte("two"), tt.ifVersion); !errors.Is(err, tt.want) {
+			t.Errorf("%s: got %v, want %v", tt.name, err, tt.want)
+		}
+	}
+	got, err := s.Get(ctx, key)
+	want := platform.Object{Key: key, Version: first + 1, Value: []byte("two")}
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+	if _, err := s.Get(ctx, "absent"); !errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("got %v, want %v", err, platform.ErrNotFound)
+	}
+	if _, err := s.Put(ctx, "absent", nil, 1); !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("got %v, want %v", err, platform.ErrConflict)
+	}
+}
+
+func TestValuesAreBounded(t *testing.T) {
+	ctx, srv, s := setUp(t, standin.Config{})
+	largest := bytes.Repeat([]byte{'x'}, platform.MaxValueBytes)
+	if _, err := s.Put(ctx, "largest", largest, 0); err != nil {
+		t.Errorf("got %v, want the largest value taken", err)
+	}
+	if _, err := s.Put(ctx, "larger", append(largest, 'x'), 0); !errors.Is(err, platform.ErrTooLarge) {
+		t.Errorf("got %v, want %v", err, platform.ErrTooLarge)
+	}
+	short := platform.Dial(platform.Config{URL: srv.URL(), MaxResponse: 1000}, clock.System())
+	if _, err := short.Get(ctx, "largest"); !errors.Is(err, platform.ErrTooLarge) {
+		t.Errorf("got %v, want %v", err, platform.ErrTooLarge)
+	}
+}
+
+func TestListAndWatch(t *testing.T) {
+	clk := clock.NewManual(0)
+	ctx, srv, s := setUp(t, standin.Config{Clock: &clk.Clock, Waiting: 50})
+	for _, k := range []platform.Key{"a/1", "a/2", "b/1"} {
+		if _, err := s.Put(ctx, k, []byte("v"), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	objects, from, err := s.List(ctx, "a/")
+	if err != nil || len(objects) != 2 || from != 3 {
+		t.Fatalf("got %v at %d, %v, want 2 objects at 3", objects, from, err)
+	}
+	type seen struct {
+		objects []platform.Object
+		version platform.Version
+		err     error
+	}
+	results := make(chan seen, 1)
+	watch := func() {
+		before := srv.Calls().Watches
+		go func() {
+			o, v, err := s.Watch(ctx, "a/", from)
+			results <- seen{o, v, err}
+		}()
+		for srv.Calls().Watches == before && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	watch()
+	if _, err := s.Put(ctx, "b/1", []byte("w"), 3); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Put(ctx, "a/1", []byte("w"), 1); err != nil {
+		t.Fatal(err)
+	}
+	got := <-results
+	want := []platform.Object{{Key: "a/1", Version: 5, Value: []byte("w")}}
+	if got.err != nil || got.version != 5 || !reflect.DeepEqual(got.objects, want) {
+		t.Errorf("got %+v, want %+v at 5", got, want)
+	}
+	from = got.version
+	watch()
+	got, waiting := seen{}, true
+	for waiting {
+		clk.Advance(50)
+		select {
+		case got = <-results:
+			waiting = false
+		default:
+		}
+	}
+	if got.err != nil || got.version != 5 || len(got.objects) != 0 {
+		t.Errorf("got %+v, want nothing at 5", got)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(*standin.Server)
+	}{
+		{"down", func(s *standin.Server) { s.Down(true) }},
+		{"slow", func(s *standin.Server) { s.Slow(clock.Second) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			still := clock.NewManual(0)
+			ctx, srv, patient := setUp(t, standin.Config{Clock: &still.Clock})
+			s := platform.Dial(platform.Config{URL: srv.URL(), Timeout: 20, WatchTimeout: 20}, clock.System())
+			tt.fault(srv)
+			_, getErr := s.Get(ctx, key)
+			_, putErr := s.Put(ctx, key, []byte("v"), 0)
+			_, _, listErr := s.List(ctx, "")
+			_, _, watchErr := s.Watch(ctx, "", 0)
+			_, vmsErr := s.VMs(ctx)
+			for i, err := range []error{getErr, putErr, listErr, watchErr, vmsErr} {
+				if !errors.Is(err, platform.ErrUnavailable) {
+					t.Errorf("call %d: got %v, want %v", i, err, platform.ErrUnavailable)
+				}
+			}
+			srv.Down(false)
+			srv.Slow(0)
+			if _, err := patient.Get(ctx, key); !errors.Is(err, platform.ErrNotFound) {
+				t.Errorf("got %v, want the update without effect", err)
+			}
+		})
+	}
+}
+
+func TestDownEndsWaitingWatch(t *testing.T) {
+	ctx, srv, s := setUp(t, standin.Config{})
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := s.Watch(ctx, "", 0)
+		done <- err
+	}()
+	for srv.Calls().Watches == 0 && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	srv.Down(true)
+	if err := <-done; !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("got %v, want %v", err, platform.ErrUnavailable)
+	}
+}
+
+func TestPutSettled(t *testing.T) {
+	tests := []struct {
+		name   string
+		lost   int
+		before string // value written by another first
+		want   error
+		puts   uint64
+	}{
+		{"answered", 0, "", nil, 1},
+		{"answer lost", 1, "", nil, 1},
+		{"conflict", 0, "other", platform.ErrConflict, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, srv, s := setUp(t, standin.Config{})
+			if tt.before != "" {
+				if _, err := s.Put(ctx, key, []byte(tt.before), 0); err != nil {
+					t.Fatal(err)
+				}
+			}
+			var calls platform.Calls
+			srv.LoseAnswers(tt.lost)
+			v, err := platform.PutSettled(ctx, platform.Counted(s, &calls), key, []byte("v"), 0)
+			if !errors.Is(err, tt.want) {
+				t.Errorf("got %v, want %v", err, tt.want)
+			}
+			if got := calls.Puts.Load(); got != tt.puts {
+				t.Errorf("got %d updates, want %d", got, tt.puts)
+			}
+			if o, _ := s.Get(ctx, key); err == nil && o.Version != v {
+				t.Errorf("got version %d, want %d", v, o.Version)
+			}
+		})
+	}
+}
+
+// TestPutSettledAgainstRaces answers an update with ErrUnavailable and lets something happen before it is read back.
+func TestPutSettledAgainstRaces(t *testing.T) {
+	const mine, other = "mine", "other"
+	tests := []struct {
+		name      string
+		then      func(ctx context.Context, s *platform.Store)
+		want      error
+		wantValue string
+	}{
+		{"never arrived", func(context.Context, *platform.Store) {}, nil, mine},
+		{"arrived late", func(ctx context.Context, s *platform.Store) { s.Put(ctx, key, []byte(mine), 0) }, nil, mine},
+		{"another was first", func(ctx context.Context, s *platform.Store) { s.Put(ctx, key, []byte(other), 0) }, platform.ErrConflict, other},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, _, s := setUp(t, standin.Config{})
+			flaky, first := *s, true
+			flaky.Put = func(ctx context.Context, k platform.Key, v []byte, ifVersion platform.Version) (platform.Version, error) {
+				if !first {
+					return s.Put(ctx, k, v, ifVersion)
+				}
+				first = false
+				tt.then(ctx, s)
+				return 0, platform.ErrUnavailable
+			}
+			if _, err := platform.PutSettled(ctx, &flaky, key, []byte(mine), 0); !errors.Is(err, tt.want) {
+				t.Errorf("got %v, want %v", err, tt.want)
+			}
+			if o, _ := s.Get(ctx, key); string(o.Value) != tt.wantValue {
+				t.Errorf("got %q, want %q", o.Value, tt.wantValue)
+			}
+		})
+	}
+}
+
+func TestPutSettledStaysUnknownWhileDown(t *testing.T) {
+	ctx, srv, s := setUp(t, standin.Config{})
+	srv.Down(true)
+	_, err := platform.PutSettled(ctx, s, key, []byte("v"), 0)
+	if !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("got %v, want %v", err, platform.ErrUnavailable)
+	}
+}
+
+func TestAnswersOutsideTheAPI(t *testing.T) {
+	tests := []struct {
+		name    string
+		status  int
+		body    string
+		unknown bool
+	}{
+		{"broken json", http.StatusOK, "{", true},
+		{"server error", http.StatusBadGateway, "", true},
+		{"redirect", http.StatusFound, "", false},
+		{"refusal", http.StatusBadRequest, "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(tt.status)
+				w.Write([]byte(tt.body))
+			}))
+			defer srv.Close()
+			s := platform.Dial(platform.Config{URL: srv.URL}, clock.System())
+			_, err := s.Put(t.Context(), key, nil, 0)
+			if got := errors.Is(err, platform.ErrUnavailable); err == nil || got != tt.unknown {
+				t.Errorf("got %v, want unknown %v", err, tt.unknown)
+			}
+		})
+	}
+}
