--- a/internal/connection/target/conn.go
+++ b/internal/connection/target/conn.go
@@ -197,3 +197,27 @@
 	_, _ = c.wire.Read(make([]byte, 1))
 	return nil
 }
+
+// encoded is a message that was encoded before.
+type encoded struct{ b []byte }
+
+// Frontend marks messages that go to a target.
+func (*encoded) Frontend() {}
+
+// Decode takes data as it is.
+func (e *encoded) Decode(data []byte) error {
+	e.b = data
+	return nil
+}
+
+// Encode appends the message to dst.
+func (e *encoded) Encode(dst []byte) ([]byte, error) { return append(dst, e.b...), nil }
+
+// SendEncoded buffers messages that were encoded before.
+func (c *Conn) SendEncoded(b []byte) { c.front.Send(&encoded{b}) }
+
+// Skip reads one answer up to ReadyForQuery and returns the target's error, if it gave one.
+func (c *Conn) Skip() error {
+	_, err := c.answer()
+	return err
+}
