--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -26,6 +26,9 @@
 // NotRunDetail is the detail of a refusal whose request has certainly had no effect.
 const NotRunDetail = "not run"
 
+// CutOffDetail is the detail of a refusal whose read was at work; it had no effect, but may have run.
+const CutOffDetail = "the read was cut off"
+
 // Error is a refusal as the caller sees it.
 type Error struct {
 	Code    Code
@@ -54,9 +57,9 @@
 	return &Error{Code: UnknownOutcomeCode, Message: message, Detail: "the write may or may not have taken effect"}
 }
 
-// Interrupted refuses a read that failed after part of its answer was forwarded.
+// Interrupted refuses a read that was sent and failed, and is not repeated.
 func Interrupted(message string) *Error {
-	return &Error{Code: NoPrimaryCode, Message: message, Detail: "part of the answer was sent"}
+	return &Error{Code: NoPrimaryCode, Message: message, Detail: CutOffDetail}
 }
 
 // Overloaded refuses a request for which no slot came free.
@@ -73,7 +76,7 @@
 
 // ReadDeadline refuses a read whose deadline passed while it was at work.
 func ReadDeadline(message string) *Error {
-	return &Error{Code: DeadlineCode, Message: message, Detail: "the read was cut off"}
+	return &Error{Code: DeadlineCode, Message: message, Detail: CutOffDetail}
 }
 
 // UnknownService refuses a session for a service that is not published.
