target: keep connections in doubt out of the pool

A connection is lent only when it is owed no answer and its socket holds nothing unasked for, so neither a late nor a doubled answer reaches the next exchange.

--- a/internal/connection/caller/attempt.go
+++ b/internal/connection/caller/attempt.go
@@ -122,7 +122,7 @@
 		a.prefix = len(c.tx.begin) + len(beginSeparator)
 		t.Send(&pgproto3.Query{String: c.tx.begin + beginSeparator + x.sql})
 	default:
-		t.SendEncoded(x.buf)
+		t.SendEncoded(x.buf, 1)
 	}
 	a.behind = a.primary && a.ends()
 	if a.behind {
--- a/internal/connection/caller/plan.go
+++ b/internal/connection/caller/plan.go
@@ -55,7 +55,7 @@
 			p.due(planned{kind: s.kind, step: i, local: true})
 			continue
 		}
-		t.SendEncoded(x.bytes(*s))
+		t.SendEncoded(x.bytes(*s), 0)
 		p.due(planned{kind: s.kind, step: i})
 	}
 	t.Send(&pgproto3.Sync{})
@@ -84,7 +84,7 @@
 	} else if !s.again {
 		p.hold(t, s.stmt.name)
 	}
-	t.SendEncoded(x.bytes(*s))
+	t.SendEncoded(x.bytes(*s), 0)
 	d := planned{kind: stepParse, step: i}
 	if !s.again {
 		d.name = s.stmt.name
@@ -101,7 +101,7 @@
 	if s.name != "" {
 		p.hold(t, s.name)
 	}
-	t.SendEncoded(s.encoded)
+	t.SendEncoded(s.encoded, 0)
 	p.due(planned{kind: stepParse, step: ownStep, name: s.name})
 	if s.name == "" {
 		return s
--- a/internal/connection/target/conn.go
+++ b/internal/connection/target/conn.go
@@ -40,7 +40,9 @@
 	prepared   prepared
 	settings   string
 	status     byte
-	broken     atomic.Bool
+	// owed is how many ReadyForQuery messages are due.
+	owed   int
+	broken atomic.Bool
 }
 
 // Dial opens a connection and logs in; it ends with ctx.
@@ -109,7 +111,13 @@
 }
 
 // Send buffers a message for the target until Flush.
-func (c *Conn) Send(msg pgproto3.FrontendMessage) { c.front.Send(msg) }
+func (c *Conn) Send(msg pgproto3.FrontendMessage) {
+	switch msg.(type) {
+	case *pgproto3.Query, *pgproto3.Sync:
+		c.owed++
+	}
+	c.front.Send(msg)
+}
 
 // Flush writes what was buffered; after an error the connection is broken.
 func (c *Conn) Flush() error {
@@ -136,6 +144,7 @@
 	switch m := msg.(type) {
 	case *pgproto3.ReadyForQuery:
 		c.status = m.TxStatus
+		c.owed--
 	case *pgproto3.ParameterStatus:
 		c.parameters[m.Name] = m.Value
 	}
@@ -145,6 +154,11 @@
 // Parameters returns the values that the target reported, by name.
 func (c *Conn) Parameters() map[string]string { return c.parameters }
 
+// Settled reports whether the connection is idle, outside a transaction and owed nothing, so that it may serve someone else.
+func (c *Conn) Settled() bool {
+	return !c.Broken() && c.status == 'I' && c.owed == 0 && c.front.ReadBufferLen() == 0
+}
+
 // TxStatus is the status byte of the last ReadyForQuery: I idle, T in a transaction, E in a failed one.
 func (c *Conn) TxStatus() byte { return c.status }
 
@@ -213,8 +227,11 @@
 // Encode appends the message to dst.
 func (e *encoded) Encode(dst []byte) ([]byte, error) { return append(dst, e.b...), nil }
 
-// SendEncoded buffers messages that were encoded before.
-func (c *Conn) SendEncoded(b []byte) { c.front.Send(&encoded{b}) }
+// SendEncoded buffers messages that were encoded before, to be answered by that many ReadyForQuery messages.
+func (c *Conn) SendEncoded(b []byte, answers int) {
+	c.owed += answers
+	c.front.Send(&encoded{b})
+}
 
 // Skip reads one answer up to ReadyForQuery and returns the target's error, if it gave one.
 func (c *Conn) Skip() error {
--- a/internal/connection/target/login.go
+++ b/internal/connection/target/login.go
@@ -27,6 +27,7 @@
 const scramMechanism = "SCRAM-SHA-256"
 
 func (c *Conn) logIn() error {
+	c.owed = 1
 	c.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
 		Parameters: map[string]string{
--- /dev/null
+++ b/internal/connection/target/order_test.go
@@ -0,0 +1,133 @@
+package target_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/cactusfork/cactusfork/internal/connection/target"
+	standin "github.com/cactusfork/cactusfork/internal/standin/target"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/position"
+)
+
+// network starts three stand-in targets, a being primary at term 1.
+func network(t *testing.T) map[group.TargetID]*standin.Target {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	n := standin.NewNetwork(clock.System())
+	all := map[group.TargetID]*standin.Target{}
+	for _, id := range []group.TargetID{"a", "b", "c"} {
+		s, err := n.Start(ctx, standin.Config{ID: id})
+		if err != nil {
+			t.Fatal(err)
+		}
+		all[id] = s
+	}
+	if err := n.Bootstrap(ctx, "a", 1, "create table item (id integer primary key, v text)"); err != nil {
+		t.Fatal(err)
+	}
+	return all
+}
+
+func dial(t *testing.T, s *standin.Target) *target.Conn {
+	t.Helper()
+	c, err := target.Dial(context.Background(), target.Address{HostPort: s.Address(), User: "proxy", Database: "shop"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestOrders(t *testing.T) {
+	all := network(t)
+	primary := group.Target{ID: "b", Address: all["b"].Address()}
+	tests := []struct {
+		name    string
+		to      group.TargetID
+		order   group.Order
+		promise position.Term
+		refused bool
+	}{
+		{"fence", "b", group.Order{Kind: group.Fence, Term: 5, Holder: "one"}, 5, false},
+		{"fence again", "b", group.Order{Kind: group.Fence, Term: 5, Holder: "one"}, 5, false},
+		{"same term from another", "b", group.Order{Kind: group.Fence, Term: 5, Holder: "two"}, 5, true},
+		{"lower term", "b", group.Order{Kind: group.Fence, Term: 4, Holder: "one"}, 5, true},
+		{"promote", "b", group.Order{Kind: group.Promote, Term: 5, Holder: "one"}, 5, false},
+		{"follow", "c", group.Order{Kind: group.Follow, Term: 5, Holder: "one", Primary: primary}, 5, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := dial(t, all[tt.to])
+			got, err := c.Order(context.Background(), tt.order)
+			var outranked *target.ErrOutranked
+			if refused := errors.As(err, &outranked); refused != tt.refused || err != nil && !refused {
+				t.Fatalf("got error %v, want refused %v", err, tt.refused)
+			}
+			if tt.refused && (outranked.Promise != 5 || outranked.Holder != "one") {
+				t.Errorf("got %v, want term 5 of one", outranked)
+			}
+			if got.Promise != tt.promise {
+				t.Errorf("got promise %d, want %d", got.Promise, tt.promise)
+			}
+			if !c.Broken() {
+				t.Error("got an open connection after an order, want it closed")
+			}
+		})
+	}
+	waitFor(t, all["b"], func(s group.Status) bool { return s.Primary })
+	waitFor(t, all["c"], func(s group.Status) bool { return s.Following == "b" })
+}
+
+// waitFor asks until the status fits; the test's own time limit ends it.
+func waitFor(t *testing.T, s *standin.Target, fits func(group.Status) bool) {
+	t.Helper()
+	c := dial(t, s)
+	for {
+		got, err := c.Status(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if fits(got) {
+			return
+		}
+	}
+}
+
+// TestOrderWhileLocked keeps out of the way of another holder's order.
+func TestOrderWhileLocked(t *testing.T) {
+	all := network(t)
+	other := dial(t, all["b"])
+	if err := other.Run(context.Background(), target.LockQuery); err != nil {
+		t.Fatal(err)
+	}
+	_, err := dial(t, all["b"]).Order(context.Background(), group.Order{Kind: group.Fence, Term: 9, Holder: "one"})
+	if !errors.Is(err, target.ErrLocked) {
+		t.Errorf("got %v, want ErrLocked", err)
+	}
+	if got := all["b"].Status().Promise; got == 9 {
+		t.Errorf("got promise %d, want the one before", got)
+	}
+}
+
+func TestPosition(t *testing.T) {
+	all := network(t)
+	c := dial(t, all["a"])
+	before, err := c.Position(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Run(context.Background(), "insert into item values (1, 'x')"); err != nil {
+		t.Fatal(err)
+	}
+	after, err := c.Position(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !before.Primary || !before.Applied.Before(after.Applied) {
+		t.Errorf("got %v and then %v, want a primary that moves on", before, after)
+	}
+}
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -82,10 +82,13 @@
 	if p.closed {
 		return nil, nil, ErrPoolClosed
 	}
-	if n := len(p.idle); n > 0 {
+	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1].conn
 		p.idle = p.idle[:n-1]
-		return c, nil, nil
+		if c.quiet() {
+			return c, nil, nil
+		}
+		p.drop(c)
 	}
 	if p.open >= p.cfg.Maximum {
 		return nil, p.freed, nil
@@ -106,7 +109,7 @@
 
 // Put gives a connection back; a broken one, or one in the midst of an exchange, is closed.
 func (p *Pool) Put(c *Conn) {
-	if c.Broken() || c.TxStatus() != 'I' {
+	if !c.Settled() {
 		p.leave(c)
 		return
 	}
--- /dev/null
+++ b/internal/connection/target/pool_test.go
@@ -0,0 +1,158 @@
+package target_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/cactusfork/cactusfork/internal/connection/target"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+func newPool(t *testing.T, minimum, maximum int) (*target.Pool, *clock.Manual) {
+	t.Helper()
+	m := clock.NewManual(1)
+	p := target.NewPool(target.Address{HostPort: network(t)["a"].Address(), User: "proxy", Database: "shop"}, target.PoolConfig{
+		Minimum: minimum, Maximum: maximum, IdleLimit: 10 * clock.Second, Clock: &m.Clock,
+	})
+	t.Cleanup(p.Close)
+	return p, m
+}
+
+func get(t *testing.T, p *target.Pool) *target.Conn {
+	t.Helper()
+	c, err := p.Get(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func wantCounts(t *testing.T, p *target.Pool, open, idle int) {
+	t.Helper()
+	if got, want := p.Counts(), (target.Counts{Open: open, Idle: idle}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func TestPoolReuses(t *testing.T) {
+	p, _ := newPool(t, 0, 2)
+	c := get(t, p)
+	p.Put(c)
+	if got := get(t, p); got != c {
+		t.Error("got another connection, want the idle one")
+	}
+	wantCounts(t, p, 1, 0)
+}
+
+// TestPoolClosesWhatIsInDoubt gives back connections in every state that forbids another use.
+func TestPoolClosesWhatIsInDoubt(t *testing.T) {
+	tests := map[string]func(c *target.Conn) error{
+		"broken": func(c *target.Conn) error {
+			c.Break()
+			return nil
+		},
+		"closed": func(c *target.Conn) error {
+			c.Close()
+			return nil
+		},
+		"in a transaction": func(c *target.Conn) error { return c.Run(context.Background(), "begin") },
+		"answer unread": func(c *target.Conn) error {
+			c.SendPosition()
+			c.SendPosition()
+			if err := c.Flush(); err != nil {
+				return err
+			}
+			_, err := c.ReceivePosition()
+			return err
+		},
+		"ended context": func(c *target.Conn) error {
+			ctx, stop := context.WithCancel(context.Background())
+			stop()
+			if _, err := c.Position(ctx); err == nil {
+				return errors.New("got no error with an ended context")
+			}
+			return nil
+		},
+	}
+	for name, spoil := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, _ := newPool(t, 0, 2)
+			c := get(t, p)
+			if err := spoil(c); err != nil {
+				t.Fatal(err)
+			}
+			p.Put(c)
+			if got := get(t, p); got == c {
+				t.Error("got the same connection, want another")
+			}
+			wantCounts(t, p, 1, 0)
+		})
+	}
+}
+
+func TestPoolWaitsForAPlace(t *testing.T) {
+	p, _ := newPool(t, 0, 1)
+	c := get(t, p)
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	if _, err := p.Get(ctx); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v, want context.Canceled", err)
+	}
+	got := make(chan *target.Conn)
+	go func() {
+		next, _ := p.Get(context.Background())
+		got <- next
+	}()
+	p.Put(c)
+	if next := <-got; next != c {
+		t.Error("got another connection, want the one given back")
+	}
+}
+
+func TestPoolBounds(t *testing.T) {
+	p, m := newPool(t, 2, 3)
+	if err := p.Warm(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	wantCounts(t, p, 2, 2)
+	a, b, c := get(t, p), get(t, p), get(t, p)
+	p.Put(a)
+	p.Put(b)
+	p.Put(c)
+	wantCounts(t, p, 3, 3)
+	m.Advance(10 * clock.Second)
+	p.Sweep()
+	wantCounts(t, p, 2, 2)
+	a, b = get(t, p), get(t, p)
+	p.Resize(0, 1)
+	p.Put(a)
+	wantCounts(t, p, 1, 0)
+	p.Put(b)
+	wantCounts(t, p, 1, 1)
+	p.Close()
+	wantCounts(t, p, 0, 0)
+	if _, err := p.Get(context.Background()); !errors.Is(err, target.ErrPoolClosed) {
+		t.Errorf("got %v, want ErrPoolClosed", err)
+	}
+}
+
+// TestPoolLeavesWhatTheTargetEnded finds out before the connection is lent that the target has gone.
+func TestPoolLeavesWhatTheTargetEnded(t *testing.T) {
+	all := network(t)
+	clk := clock.System()
+	p := target.NewPool(target.Address{HostPort: all["b"].Address(), User: "proxy", Database: "shop"}, target.PoolConfig{Maximum: 2, Clock: clk})
+	t.Cleanup(p.Close)
+	c := get(t, p)
+	p.Put(c)
+	all["b"].Crash()
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	if err := all["b"].Restart(ctx); err != nil {
+		t.Fatal(err)
+	}
+	next := get(t, p)
+	if _, err := next.Position(context.Background()); err != nil {
+		t.Errorf("got %v, want an answer", err)
+	}
+}
--- a/internal/connection/target/query.go
+++ b/internal/connection/target/query.go
@@ -120,10 +120,14 @@
 	if err != nil {
 		return group.Status{}, err
 	}
+	primary, err := flag(r[2])
+	if err != nil {
+		return group.Status{}, err
+	}
 	return group.Status{
 		Promise:   position.Term(promise),
 		Holder:    group.DaemonID(r[1]),
-		Primary:   r[2] == "t",
+		Primary:   primary,
 		Following: group.TargetID(r[3]),
 		Received:  received,
 		Applied:   applied,
@@ -134,11 +138,26 @@
 	if len(r) != positionColumns {
 		return Place{}, fmt.Errorf("position of %d columns: %w", len(r), ErrAnswer)
 	}
+	primary, err := flag(r[0])
+	if err != nil {
+		return Place{}, err
+	}
 	p, err := point(r[1], r[2])
 	if err != nil {
 		return Place{}, err
 	}
-	return Place{Primary: r[0] == "t", Applied: p}, nil
+	return Place{Primary: primary, Applied: p}, nil
+}
+
+func flag(s string) (bool, error) {
+	switch s {
+	case "t":
+		return true, nil
+	case "f":
+		return false, nil
+	default:
+		return false, fmt.Errorf("flag %q: %w", s, ErrAnswer)
+	}
 }
 
 func point(term, pos string) (position.Point, error) {
--- /dev/null
+++ b/internal/connection/target/shape_test.go
@@ -0,0 +1,60 @@
+package target
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/cactusfork/cactusfork/internal/version/group"
+)
+
+func TestOrdersThatCannotBeWritten(t *testing.T) {
+	tests := []struct {
+		name  string
+		order group.Order
+	}{
+		{"unknown kind", group.Order{Term: 1, Holder: "one"}},
+		{"holder with a quote", group.Order{Kind: group.Fence, Term: 1, Holder: "o'ne"}},
+		{"primary without a port", group.Order{Kind: group.Follow, Term: 1, Holder: "one", Primary: group.Target{ID: "b", Address: "host"}}},
+		{"primary with a named port", group.Order{Kind: group.Follow, Term: 1, Holder: "one", Primary: group.Target{ID: "b", Address: "host:pg"}}},
+		{"primary with a space", group.Order{Kind: group.Follow, Term: 1, Holder: "one", Primary: group.Target{ID: "b x", Address: "host:1"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got, err := orderStatements(tt.order); err == nil {
+				t.Errorf("got %q, want an error", got)
+			}
+		})
+	}
+}
+
+func TestAnswersOfTheWrongShape(t *testing.T) {
+	places := []row{nil, {"t", "1"}, {"t", "x", "1"}, {"t", "1", "-1"}, {"t", "1", "1", "1"}, {"yes", "1", "1"}}
+	for _, r := range places {
+		if got, err := parsePlace(r); !errors.Is(err, ErrAnswer) {
+			t.Errorf("got %v and %v for %q, want ErrAnswer", got, err, r)
+		}
+	}
+	statuses := []row{nil, {"1", "h", "t", "", "1", "2", "1"}, {"x", "h", "t", "", "1", "2", "1", "2"}, {"1", "h", "maybe", "", "1", "2", "1", "2"}}
+	for _, r := range statuses {
+		if got, err := parseStatus(r); !errors.Is(err, ErrAnswer) {
+			t.Errorf("got %v and %v for %q, want ErrAnswer", got, err, r)
+		}
+	}
+}
+
+func TestPreparedGiveWay(t *testing.T) {
+	c := &Conn{prepared: newPrepared()}
+	for i := range maxPrepared {
+		if old, full := c.Hold(StatementName(rune(i))); full {
+			t.Fatalf("got %q to give way at %d, want none", old, i)
+		}
+	}
+	old, full := c.Hold("one more")
+	if !full || old != StatementName(rune(0)) || c.Holds(old) {
+		t.Errorf("got %q %v, want the first to give way", old, full)
+	}
+	c.Drop("one more")
+	if c.Holds("one more") {
+		t.Error("got a dropped statement, want none")
+	}
+}
