standin: keep statements prepared and end targets with their context

A target's capacity was bounded by parsing each statement anew, and its database outlived its context. A failed replay is now reported by Rows.

--- a/internal/standin/target/control.go
+++ b/internal/standin/target/control.go
@@ -172,6 +172,7 @@
 		return []string{"f"}
 	}
 	t.promoting = true
+	t.toTerm = t.promise
 	t.stream()
 	t.wake()
 	return []string{"t"}
@@ -199,12 +200,12 @@
 	}
 }
 
-// becomePrimary ends a promotion with an empty record at the promised term; the caller holds the database and mu.
+// becomePrimary ends a promotion with an empty record at the term that was promised when it was ordered; the caller holds the database and mu.
 func (t *Target) becomePrimary() {
 	t.promoting = false
 	t.primary = true
 	t.upstream, t.staged.upstream = "", ""
-	t.logTerm = t.promise
+	t.logTerm = t.toTerm
 	t.append(nil)
 	t.n.connect()
 }
--- a/internal/standin/target/database.go
+++ b/internal/standin/target/database.go
@@ -11,8 +11,8 @@
 	"modernc.org/sqlite"
 )
 
-// maxShapes bounds the remembered result columns of statements.
-const maxShapes = 1024
+// maxKnown bounds the statements that are kept prepared.
+const maxKnown = 1024
 
 type liteConn interface {
 	driver.Conn
@@ -26,6 +26,18 @@
 	oid  uint32
 }
 
+type liteStatement interface {
+	driver.Stmt
+	driver.StmtQueryContext
+	driver.StmtExecContext
+}
+
+// known is a statement that is kept prepared, with its result columns.
+type known struct {
+	statement liteStatement
+	columns   []column
+}
+
 type result struct {
 	tag      string // other than the statement says
 	columns  []column
@@ -35,9 +47,9 @@
 
 // database is one in-memory database, used by one statement at a time.
 type database struct {
-	ctx    context.Context // never ends, so that a rollback always runs
-	conn   liteConn
-	shapes map[string][]column
+	ctx   context.Context // never ends, so that a rollback always runs
+	conn  liteConn
+	known map[string]*known
 }
 
 func openDatabase(ctx context.Context) (*database, error) {
@@ -49,36 +61,54 @@
 	if !ok {
 		return nil, errors.New("driver lacks column information")
 	}
-	db := &database{ctx: context.WithoutCancel(ctx), conn: conn, shapes: make(map[string][]column)}
+	db := &database{ctx: context.WithoutCancel(ctx), conn: conn, known: make(map[string]*known)}
 	if err := db.exec("PRAGMA foreign_keys = ON"); err != nil {
 		return nil, err
 	}
 	return db, nil
 }
 
-func (d *database) close() error { return d.conn.Close() }
+func (d *database) close() error {
+	d.forget()
+	return d.conn.Close()
+}
+
+// forget drops the prepared statements, whose columns a change of the schema may change.
+func (d *database) forget() {
+	for _, k := range d.known {
+		_ = k.statement.Close()
+	}
+	clear(d.known)
+}
 
+// rollback ends a transaction, also one that the engine has rolled back already.
+func (d *database) rollback() {
+	_ = d.exec("ROLLBACK")
+	d.forget() // the transaction may have changed the schema
+}
+
+// exec runs a statement of a transaction's frame.
 func (d *database) exec(sql string) error {
-	_, err := d.conn.ExecContext(d.ctx, sql, nil)
+	_, err := d.run(d.ctx, sql, nil)
 	return err
 }
 
 // run executes one statement and reads all its rows.
 func (d *database) run(ctx context.Context, sql string, args []driver.Value) (*result, error) {
-	columns, err := d.describe(sql)
+	k, err := d.prepare(sql)
 	if err != nil {
 		return nil, err
 	}
-	if len(columns) == 0 {
-		return d.change(ctx, sql, args)
+	if len(k.columns) == 0 {
+		return d.change(ctx, sql, k, args)
 	}
-	rows, err := d.conn.QueryContext(ctx, sql, named(args))
+	rows, err := k.statement.QueryContext(ctx, named(args))
 	if err != nil {
 		return nil, err
 	}
-	res := &result{columns: columns}
+	res := &result{columns: k.columns}
 	for {
-		row := make([]driver.Value, len(columns))
+		row := make([]driver.Value, len(k.columns))
 		err := rows.Next(row)
 		if errors.Is(err, io.EOF) {
 			break
@@ -93,13 +123,13 @@
 	return res, rows.Close()
 }
 
-func (d *database) change(ctx context.Context, sql string, args []driver.Value) (*result, error) {
-	done, err := d.conn.ExecContext(ctx, sql, named(args))
+func (d *database) change(ctx context.Context, sql string, k *known, args []driver.Value) (*result, error) {
+	done, err := k.statement.ExecContext(ctx, named(args))
 	if err != nil {
 		return nil, err
 	}
 	if changesSchema(sql) {
-		clear(d.shapes)
+		d.forget()
 		return &result{}, nil
 	}
 	n, err := done.RowsAffected()
@@ -116,7 +146,8 @@
 	}
 	for _, s := range r.statements {
 		if _, err := d.run(d.ctx, s.sql, s.args); err != nil {
-			return errors.Join(err, d.exec("ROLLBACK"))
+			d.rollback()
+			return err
 		}
 	}
 	return d.exec("COMMIT")
@@ -124,9 +155,38 @@
 
 // describe returns the result columns of a statement, none for one that returns no rows.
 func (d *database) describe(sql string) ([]column, error) {
-	if columns, ok := d.shapes[sql]; ok {
-		return columns, nil
+	k, err := d.prepare(sql)
+	if err != nil {
+		return nil, err
+	}
+	return k.columns, nil
+}
+
+func (d *database) prepare(sql string) (*known, error) {
+	if k, ok := d.known[sql]; ok {
+		return k, nil
+	}
+	columns, err := d.columns(sql)
+	if err != nil {
+		return nil, err
 	}
+	prepared, err := d.conn.Prepare(sql)
+	if err != nil {
+		return nil, err
+	}
+	statement, ok := prepared.(liteStatement)
+	if !ok {
+		return nil, errors.New("driver lacks statements with contexts")
+	}
+	if len(d.known) >= maxKnown {
+		d.forget()
+	}
+	k := &known{statement: statement, columns: columns}
+	d.known[sql] = k
+	return k, nil
+}
+
+func (d *database) columns(sql string) ([]column, error) {
 	info, err := d.conn.ColumnInfo(sql)
 	if err != nil {
 		return nil, err
@@ -138,14 +198,8 @@
 		unknown = unknown || c.DeclType == ""
 	}
 	if unknown {
-		if err := d.guess(sql, columns); err != nil {
-			return nil, err
-		}
-	}
-	if len(d.shapes) >= maxShapes {
-		clear(d.shapes)
+		return columns, d.guess(sql, columns)
 	}
-	d.shapes[sql] = columns
 	return columns, nil
 }
 
--- a/internal/standin/target/execute.go
+++ b/internal/standin/target/execute.go
@@ -240,7 +240,7 @@
 	if s.tx == nil {
 		return
 	}
-	_ = s.t.db.exec("ROLLBACK") // fails where the engine has rolled back already
+	s.t.db.rollback()
 	s.tx = nil
 	s.t.unlockDatabase()
 }
--- a/internal/standin/target/log.go
+++ b/internal/standin/target/log.go
@@ -153,7 +153,7 @@
 	t.n.mu.Lock()
 	defer t.n.mu.Unlock()
 	switch {
-	case !t.working():
+	case !t.working() || t.failure != nil:
 		return 0, t.changed, false
 	case t.rewind || t.promoting:
 		return 0, t.changed, true
@@ -203,7 +203,8 @@
 // replay applies the next record; the caller holds the database and mu.
 func (t *Target) replay() error {
 	if err := t.db.replay(t.log[t.applied].record); err != nil {
-		return fmt.Errorf("replay %s: %w", t.log[t.applied].point, err)
+		t.failure = fmt.Errorf("replay %s: %w", t.log[t.applied].point, err)
+		return t.failure
 	}
 	t.applied++
 	return nil
@@ -220,12 +221,12 @@
 	}
 	t.n.mu.Lock()
 	defer t.n.mu.Unlock()
-	if !t.rewind {
-		return nil
+	if t.rewind && t.failure == nil {
+		t.rebuild()
 	}
-	if err := t.rebuild(); err != nil {
+	if t.failure != nil {
 		t.unlockDatabase()
-		return fmt.Errorf("rewind: %w", err)
+		return t.failure
 	}
 	return nil
 }
@@ -243,19 +244,20 @@
 
 func (t *Target) unlockDatabase() { <-t.dbLock }
 
-func (t *Target) rebuild() error {
-	db, err := openDatabase(t.db.ctx)
+// rebuild replays the log into a new database; the caller holds the old one and mu.
+func (t *Target) rebuild() {
+	old := t.db
+	db, err := openDatabase(old.ctx)
 	if err != nil {
-		return err
+		t.failure = fmt.Errorf("rewind: %w", err)
+		return
 	}
-	for _, e := range t.log[:t.applied] {
-		if err := db.replay(e.record); err != nil {
-			_ = db.close()
-			return err
+	t.db, t.rewind = db, false
+	_ = old.close()
+	applied := t.applied
+	for t.applied = 0; t.applied < applied; {
+		if t.replay() != nil {
+			return
 		}
 	}
-	old := t.db
-	t.db = db
-	t.rewind = false
-	return old.close()
 }
--- a/internal/standin/target/network.go
+++ b/internal/standin/target/network.go
@@ -70,6 +70,7 @@
 	if err := t.start(ctx); err != nil {
 		return nil, fmt.Errorf("start target: %w", err)
 	}
+	context.AfterFunc(ctx, t.shutDown)
 	return t, nil
 }
 
--- a/internal/standin/target/session.go
+++ b/internal/standin/target/session.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"database/sql/driver"
 	"net"
 	"sync"
 
@@ -12,22 +10,6 @@
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
-const (
-	keyBytes   = 4
-	flushBytes = 64 << 10 // of rows between flushes
-)
-
-// parameterStatus is what a session is told at its start.
-var parameterStatus = []pgproto3.ParameterStatus{
-	{Name: "server_version", Value: "16.0"},
-	{Name: "server_encoding", Value: "UTF8"},
-	{Name: "client_encoding", Value: "UTF8"},
-	{Name: "DateStyle", Value: "ISO, MDY"},
-	{Name: "TimeZone", Value: "UTC"},
-	{Name: "integer_datetimes", Value: "on"},
-	{Name: "standard_conforming_strings", Value: "on"},
-}
-
 // session is one connection of a caller, a proxy or a daemon.
 type session struct {
 	t    *Target
@@ -89,66 +71,6 @@
 	}
 }
 
-// startUp answers the start of the session and reports whether it may go on.
-func (s *session) startUp() bool {
-	for {
-		msg, err := s.wire.ReceiveStartupMessage()
-		if err != nil || s.t.running(s.ctx) != nil {
-			return false
-		}
-		switch m := msg.(type) {
-		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
-			if _, err := s.conn.Write([]byte{'N'}); err != nil {
-				return false
-			}
-		case *pgproto3.CancelRequest:
-			s.t.cancel(m)
-			return false
-		case *pgproto3.StartupMessage:
-			return s.admit()
-		}
-	}
-}
-
-// admit counts the session against the connection limit and greets it.
-func (s *session) admit() bool {
-	_, _ = rand.Read(s.key)
-	if !s.t.register(s) {
-		s.wire.Send(fatal(codeTooManyConnections, tooManyConnections).response())
-		_ = s.flush()
-		return false
-	}
-	s.wire.Send(&pgproto3.AuthenticationOk{})
-	for i := range parameterStatus {
-		s.wire.Send(&parameterStatus[i])
-	}
-	s.wire.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.key})
-	return s.ready() == nil
-}
-
-func (t *Target) register(s *session) bool {
-	t.n.mu.Lock()
-	defer t.n.mu.Unlock()
-	if t.cfg.Connections > 0 && len(t.sessions) >= t.cfg.Connections {
-		return false
-	}
-	t.lastPID++
-	s.pid = t.lastPID
-	s.epoch = t.epoch
-	t.sessions[s] = true
-	return true
-}
-
-func (t *Target) cancel(m *pgproto3.CancelRequest) {
-	t.n.mu.Lock()
-	defer t.n.mu.Unlock()
-	for s := range t.sessions {
-		if s.pid == m.ProcessID && string(s.key) == string(m.SecretKey) && s.interrupt != nil {
-			s.interrupt()
-		}
-	}
-}
-
 // loop answers messages until the session ends.
 func (s *session) loop(ctx context.Context) {
 	in, next := make(chan pgproto3.FrontendMessage), make(chan struct{})
@@ -340,53 +262,3 @@
 	s.wire.Send(&pgproto3.CommandComplete{CommandTag: []byte(tagOf(st, res.affected, res))})
 	return nil
 }
-
-func describeRow(columns []column, formats []int16) *pgproto3.RowDescription {
-	fields := make([]pgproto3.FieldDescription, len(columns))
-	for i, c := range columns {
-		fields[i] = pgproto3.FieldDescription{
-			Name:         []byte(c.name),
-			DataTypeOID:  c.oid,
-			DataTypeSize: typeSize(c.oid),
-			TypeModifier: -1,
-			Format:       formatOf(formats, i),
-		}
-	}
-	return &pgproto3.RowDescription{Fields: fields}
-}
-
-// formatOf picks from a list of formats, in which one counts for all and none means text.
-func formatOf(formats []int16, i int) int16 {
-	switch {
-	case len(formats) == 1:
-		return formats[0]
-	case i < len(formats):
-		return formats[i]
-	}
-	return textFormat
-}
-
-// sendRows sends rows and flushes large results as it goes.
-func (s *session) sendRows(res *result, rows [][]driver.Value, formats []int16) error {
-	pending := 0
-	for _, row := range rows {
-		values := make([][]byte, len(row))
-		for i, v := range row {
-			encoded, err := encode(v, res.columns[i].oid, formatOf(formats, i))
-			if err != nil {
-				return err
-			}
-			values[i] = encoded
-			pending += len(encoded)
-		}
-		s.wire.Send(&pgproto3.DataRow{Values: values})
-		if pending < flushBytes {
-			continue
-		}
-		pending = 0
-		if err := s.flush(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -27,6 +28,8 @@
 	Refused uint64 // for want of a slot
 }
 
+var errEnded = errors.New("target has ended")
+
 // Target is one stand-in database server.
 type Target struct {
 	cfg     Config
@@ -38,10 +41,8 @@
 	reads, writes, control, refused atomic.Uint64
 
 	// The fields below are guarded by the network's mu.
-	ctx       context.Context
 	stop      context.CancelFunc
 	done      *sync.WaitGroup
-	listener  net.Listener
 	sessions  map[*session]bool
 	lastPID   uint32
 	lockOwner *session
@@ -54,9 +55,11 @@
 	lag       clock.Millis
 	log       []entry
 	applied   int
-	rewind    bool // the database holds records that the log does not
+	rewind    bool  // the database holds records that the log does not
+	failure   error // ended the replay or the target
 	primary   bool
 	promoting bool
+	toTerm    position.Term // of the promotion
 	logTerm   position.Term
 	epoch     uint64 // rises when the target stops being a primary
 	upstream  group.TargetID
@@ -96,7 +99,7 @@
 	done := new(sync.WaitGroup)
 	t.n.mu.Lock()
 	t.address = l.Addr().String()
-	t.ctx, t.stop, t.done, t.listener = run, stop, done, l
+	t.stop, t.done = stop, done
 	t.up = true
 	t.n.connect()
 	t.n.mu.Unlock()
@@ -134,12 +137,23 @@
 	t.n.mu.Lock()
 	stop, done := t.stop, t.done
 	t.up = false
-	t.paused = false
 	t.promoting = false
 	t.n.connect()
 	t.n.mu.Unlock()
 	stop()
 	done.Wait()
+	t.setPaused(false)
+}
+
+// shutDown ends the target for good.
+func (t *Target) shutDown() {
+	t.Crash()
+	t.dbLock <- struct{}{}
+	defer t.unlockDatabase()
+	t.n.mu.Lock()
+	defer t.n.mu.Unlock()
+	t.failure = errEnded
+	_ = t.db.close()
 }
 
 // Restart starts a crashed target on its old address until ctx ends, with the settings that were staged.
@@ -222,7 +236,7 @@
 	}
 }
 
-// Rows runs sql on what the target has applied, past its limits and faults, and returns the rows as text.
+// Rows runs sql on what the target has applied, past its limits and faults, and returns the rows as text; it fails once the target has ended.
 func (t *Target) Rows(ctx context.Context, sql string) ([][]string, error) {
 	if err := t.lockDatabase(ctx); err != nil {
 		return nil, fmt.Errorf("lock database: %w", err)
