route: tell a primary's term from its log and recheck a waiting choice

Cause: a primary's log is in the term it was promoted at, whatever it promised since; and a request that waited for a slot may have outlived its sample. Change: PrimaryOf reads the term from the log; Fits answers for a target chosen earlier; the fault tables are split into writes and reads.

--- a/internal/request/route/choose.go
+++ b/internal/request/route/choose.go
@@ -33,6 +33,25 @@
 	return chooseWrite(v)
 }
 
+// Fits reports whether the target named id may serve n at now, for a request that waited since it was chosen.
+func Fits(v *View, now clock.Millis, n Need, id group.TargetID) bool {
+	if n.Request.Kind != service.Read {
+		c := chooseWrite(v)
+		return c.Kind == Primary && c.Target == id
+	}
+	proof, ok := proofOf(v, now, n)
+	if !ok {
+		return false
+	}
+	r := newReader(v, n.DataCentre, position.Max(n.Floor, proof))
+	for i := range v.Targets {
+		if v.Targets[i].ID == id {
+			return r.class(i) != unfit
+		}
+	}
+	return false
+}
+
 func chooseWrite(v *View) Choice {
 	if v.Changing {
 		return Choice{Kind: Wait, Reason: ReasonChanging}
--- a/internal/request/route/choose_test.go
+++ b/internal/request/route/choose_test.go
@@ -28,78 +28,100 @@
 	return v
 }
 
-func TestChoose(t *testing.T) {
-	read := func(n *Need) { n.Request.Kind = service.Read }
-	tests := []struct {
-		name   string
-		change func(a, b, c *TargetView, v *View, n *Need)
-		want   Choice
-	}{
-		{"write", func(_, _, _ *TargetView, _ *View, _ *Need) {}, Choice{"a", Primary, ReasonWrite}},
-		{"write while changing", func(_, _, _ *TargetView, v *View, _ *Need) { v.Changing = true }, Choice{"", Wait, ReasonChanging}},
-		{"write with primary down", func(a, _, _ *TargetView, _ *View, _ *Need) { a.Down = true }, Choice{"", Wait, ReasonNoPrimary}},
-		{"write before promotion", func(a, _, _ *TargetView, _ *View, _ *Need) { a.Status.Primary = false }, Choice{"", Wait, ReasonNoPrimary}},
-		{"write by a status of an earlier role", func(_, _, _ *TargetView, v *View, _ *Need) { v.Record.Term = 4 }, Choice{"", Wait, ReasonNoPrimary}},
-		{"write with majority fenced", func(_, b, c *TargetView, _ *View, _ *Need) { b.Status.Promise, c.Status.Promise = 3, 3 }, Choice{"", Wait, ReasonFenced}},
-		{"write with one fenced", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Status.Promise = 3 }, Choice{"a", Primary, ReasonWrite}},
-		{"write with record behind", func(_, b, c *TargetView, _ *View, _ *Need) {
-			b.Status = group.Status{Promise: 3, Holder: "d", Primary: true}
-			c.Status = group.Status{Promise: 3, Holder: "d", Following: "b"}
+// chooseCase changes the base view or the need, and says what Choose makes of it.
+type chooseCase struct {
+	name   string
+	change func(a, b, c *TargetView, v *View, n *Need)
+	want   Choice
+}
+
+func (tt *chooseCase) run(t *testing.T, kind service.Kind) {
+	v, n := baseView(), Need{Arrived: 1000, DataCentre: "here"}
+	n.Request.Kind = kind
+	tt.change(&v.Targets[0], &v.Targets[1], &v.Targets[2], v, &n)
+	got := Choose(v, 1010, n, func(int) int { return 0 })
+	if got != tt.want {
+		t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+	}
+	if got.Target != "" && !Fits(v, 1010, n, got.Target) || Fits(v, 1010, n, "z") || Fits(v, 1010, n, "") {
+		t.Errorf("%s: got another answer of Fits for %v", tt.name, got)
+	}
+}
+
+func TestChooseForWrites(t *testing.T) {
+	toA, none := Choice{"a", Primary, ReasonWrite}, Choice{"", Wait, ReasonNoPrimary}
+	later := func(holder group.DaemonID) group.Status {
+		return group.Status{Promise: 3, Holder: holder, Received: point(3, 101)}
+	}
+	tests := []chooseCase{
+		{"plain", func(_, _, _ *TargetView, _ *View, _ *Need) {}, toA},
+		{"changing", func(_, _, _ *TargetView, v *View, _ *Need) { v.Changing = true }, Choice{"", Wait, ReasonChanging}},
+		{"primary down", func(a, _, _ *TargetView, _ *View, _ *Need) { a.Down = true }, none},
+		{"before promotion", func(a, _, _ *TargetView, _ *View, _ *Need) { a.Status.Primary = false }, none},
+		{"a status of an earlier role", func(_, _, _ *TargetView, v *View, _ *Need) { v.Record.Term = 4 }, none},
+		{"majority fenced", func(_, b, c *TargetView, _ *View, _ *Need) { b.Status.Promise, c.Status.Promise = 3, 3 }, Choice{"", Wait, ReasonFenced}},
+		{"one fenced", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Status.Promise = 3 }, toA},
+		{"record behind", func(_, b, c *TargetView, _ *View, _ *Need) {
+			b.Status, c.Status = later("d"), later("d")
+			b.Status.Primary, c.Status.Following = true, "b"
 		}, Choice{"b", Primary, ReasonWrite}},
-		{"write with an unproven later primary", func(_, b, _ *TargetView, _ *View, _ *Need) {
-			b.Status = group.Status{Promise: 3, Holder: "d", Primary: true}
-		}, Choice{"a", Primary, ReasonWrite}},
-		{"write with two holders of a term", func(a, b, c *TargetView, _ *View, _ *Need) {
-			b.Status = group.Status{Promise: 3, Holder: "d", Primary: true}
-			c.Status = group.Status{Promise: 3, Holder: "e", Following: "b"}
-			a.Down = true
-		}, Choice{"", Wait, ReasonNoPrimary}},
-		{"write past its deadline", func(_, _, _ *TargetView, _ *View, n *Need) { n.Deadline = 1000 }, Choice{"", Refuse, ReasonDeadline}},
-		{"write without targets", func(_, _, _ *TargetView, v *View, _ *Need) { v.Targets = nil }, Choice{"", Refuse, ReasonNoTargets}},
-		{"read here", func(_, _, _ *TargetView, _ *View, n *Need) { read(n) }, Choice{"b", Replica, ReasonFresh}},
-		{"read here with b full", func(_, b, _ *TargetView, _ *View, n *Need) { read(n); b.Busy = 4 }, Choice{"c", Replica, ReasonFresh}},
-		{"read on an idle primary", func(a, b, _ *TargetView, _ *View, n *Need) { read(n); a.Writes, b.Busy = 0, 1 }, Choice{"a", Primary, ReasonFresh}},
-		{"read past a lagging replica", func(_, b, _ *TargetView, _ *View, n *Need) { read(n); b.Status.Applied = point(2, 99) }, Choice{"c", Replica, ReasonFresh}},
-		{"read past an older term", func(_, b, _ *TargetView, _ *View, n *Need) { read(n); b.Status.Applied = point(1, 900) }, Choice{"c", Replica, ReasonFresh}},
-		{"read past another's follower", func(_, b, _ *TargetView, _ *View, n *Need) { read(n); b.Status.Following = "z" }, Choice{"c", Replica, ReasonFresh}},
-		{"read past a cut off replica", func(_, b, _ *TargetView, _ *View, n *Need) { read(n); b.Status.Following = "" }, Choice{"c", Replica, ReasonFresh}},
-		{"read past one that leaves", func(_, b, _ *TargetView, _ *View, n *Need) { read(n); b.Leaving = true }, Choice{"c", Replica, ReasonFresh}},
-		{"read on the busy primary", func(_, b, c *TargetView, _ *View, n *Need) { read(n); b.Down, c.Down = true, true }, Choice{"a", Primary, ReasonNoReplica}},
-		{"read floor past the replicas", func(_, _, _ *TargetView, _ *View, n *Need) { read(n); n.Floor = point(2, 101) }, Choice{"a", Primary, ReasonNoReplica}},
-		{"read floor of a later term", func(_, _, _ *TargetView, _ *View, n *Need) { read(n); n.Floor = point(3, 1) }, Choice{"", Wait, ReasonLagging}},
-		{"read without a sample", func(_, _, _ *TargetView, _ *View, n *Need) { read(n); n.Arrived = 1001 }, Choice{"", Wait, ReasonNeedsSample}},
-		{"read with a sample of its own", func(_, _, _ *TargetView, _ *View, n *Need) {
-			read(n)
+		{"an unproven later primary", func(_, b, _ *TargetView, _ *View, _ *Need) {
+			b.Status = later("d")
+			b.Status.Primary = true
+		}, toA},
+		{"an old primary that took the fence", func(a, b, c *TargetView, _ *View, _ *Need) {
+			a.Status.Promise, b.Status, c.Status = 3, later("d"), later("d")
+		}, Choice{"", Wait, ReasonFenced}},
+		{"two holders of a term", func(a, b, c *TargetView, _ *View, _ *Need) {
+			b.Status, c.Status, a.Down = later("d"), later("e"), true
+			b.Status.Primary, c.Status.Following = true, "b"
+		}, none},
+		{"past its deadline", func(_, _, _ *TargetView, _ *View, n *Need) { n.Deadline = 1010 }, Choice{"", Refuse, ReasonDeadline}},
+		{"no targets", func(_, _, _ *TargetView, v *View, _ *Need) { v.Targets = nil }, Choice{"", Refuse, ReasonNoTargets}},
+	}
+	for _, tt := range tests {
+		tt.run(t, service.Write)
+	}
+}
+
+func TestChooseForReads(t *testing.T) {
+	onB, onC := Choice{"b", Replica, ReasonFresh}, Choice{"c", Replica, ReasonFresh}
+	onBusy, lagging := Choice{"a", Primary, ReasonNoReplica}, Choice{"", Wait, ReasonLagging}
+	tests := []chooseCase{
+		{"here", func(_, _, _ *TargetView, _ *View, _ *Need) {}, onB},
+		{"b full", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Busy = 4 }, onC},
+		{"idle primary", func(a, b, _ *TargetView, _ *View, _ *Need) { a.Writes, b.Busy = 0, 1 }, Choice{"a", Primary, ReasonFresh}},
+		{"lagging", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Status.Applied = point(2, 99) }, onC},
+		{"older term", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Status.Applied = point(1, 900) }, onC},
+		{"another's follower", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Status.Following = "z" }, onC},
+		{"cut off", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Status.Following = "" }, onC},
+		{"leaving", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Leaving = true }, onC},
+		{"busy primary", func(_, b, c *TargetView, _ *View, _ *Need) { b.Down, c.Down = true, true }, onBusy},
+		{"floor past the replicas", func(_, _, _ *TargetView, _ *View, n *Need) { n.Floor = point(2, 101) }, onBusy},
+		{"floor of a later term", func(_, _, _ *TargetView, _ *View, n *Need) { n.Floor = point(3, 1) }, lagging},
+		{"no sample", func(_, _, _ *TargetView, _ *View, n *Need) { n.Arrived = 1001 }, Choice{"", Wait, ReasonNeedsSample}},
+		{"a sample of its own", func(_, _, _ *TargetView, _ *View, n *Need) {
 			n.Arrived, n.Fresh = 1001, Sample{point(2, 100), 1001}
-		}, Choice{"b", Replica, ReasonFresh}},
-		{"aged read by the older sample", func(_, b, _ *TargetView, _ *View, n *Need) {
-			read(n)
+		}, onB},
+		{"aged, by the older sample", func(_, b, _ *TargetView, _ *View, n *Need) {
 			n.Arrived, n.Request.MaxAge, b.Status.Applied = 1001, 110, point(2, 50)
-		}, Choice{"b", Replica, ReasonFresh}},
-		{"aged read with that sample too old", func(_, b, _ *TargetView, _ *View, n *Need) {
-			read(n)
+		}, onB},
+		{"aged, that sample too old", func(_, b, _ *TargetView, _ *View, n *Need) {
 			n.Request.MaxAge, b.Status.Applied = 109, point(2, 50)
-		}, Choice{"c", Replica, ReasonFresh}},
-		{"read while changing", func(a, b, c *TargetView, v *View, n *Need) {
-			read(n)
-			v.Changing, a.Down = true, true
-			b.Status.Promise, b.Status.Following = 3, ""
-		}, Choice{"b", Replica, ReasonFresh}},
-		{"read while changing past one not fenced", func(a, b, _ *TargetView, v *View, n *Need) {
-			read(n)
-			v.Changing, a.Down = true, true
-			b.Status.Promise, b.Status.Following, b.Status.Applied = 3, "", point(2, 99)
-		}, Choice{"", Wait, ReasonLagging}},
+		}, onC},
+		{"changing, on one fenced", func(a, b, _ *TargetView, v *View, _ *Need) {
+			v.Changing, a.Down, b.Status.Promise, b.Status.Following = true, true, 3, ""
+		}, onB},
+		{"changing, not on one left unfenced", func(a, b, _ *TargetView, v *View, _ *Need) {
+			v.Changing, a.Down, b.Status.Promise, b.Status.Following = true, true, 3, ""
+			b.Status.Applied = point(2, 99)
+		}, lagging},
+		{"changing, not on the failed primary", func(_, b, c *TargetView, v *View, _ *Need) {
+			v.Changing, b.Down, c.Down = true, true, true
+		}, lagging},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			v, n := baseView(), Need{Arrived: 1000, DataCentre: "here"}
-			n.Request.Kind = service.Write
-			tt.change(&v.Targets[0], &v.Targets[1], &v.Targets[2], v, &n)
-			if got := Choose(v, 1010, n, func(int) int { return 0 }); got != tt.want {
-				t.Errorf("got %v, want %v", got, tt.want)
-			}
-		})
+		tt.run(t, service.Read)
 	}
 }
 
--- a/internal/request/route/model_run_test.go
+++ b/internal/request/route/model_run_test.go
@@ -51,76 +51,55 @@
 	}
 }
 
-func TestModelCatchesBrokenDecisions(t *testing.T) {
-	tests := []struct {
-		name    string
-		breakIt func(*world)
-	}{
-		{"no floor", func(w *world) {
-			w.choose = func(v *View, now clock.Millis, n Need, pick func(int) int) Choice {
-				n.Floor = position.Point{}
-				return Choose(v, now, n, pick)
-			}
-		}},
-		{"no sample", func(w *world) {
-			w.choose = func(v *View, now clock.Millis, n Need, pick func(int) int) Choice {
-				n.Fresh = Sample{AskedAt: now}
-				return Choose(v, now, n, pick)
-			}
-		}},
-		{"old sample", func(w *world) {
-			w.choose = func(v *View, now clock.Millis, n Need, pick func(int) int) Choice {
-				n.Request.MaxAge *= 10
-				return Choose(v, now, n, pick)
-			}
-		}},
-		{"positions without terms", func(w *world) {
-			w.choose = func(v *View, now clock.Millis, n Need, pick func(int) int) Choice {
-				n.Floor.Term, n.Fresh.Point.Term = 1, 1
-				return Choose(v, now, n, pick)
-			}
-		}},
-		{"acknowledged by the primary alone", func(w *world) {
-			w.confirm = func(*View, position.Point) bool { return true }
-		}},
-		{"acknowledged in another term", func(w *world) {
-			w.confirm = confirmedByPosition
-		}},
-		{"acknowledged past the promise", func(w *world) {
-			w.confirm = confirmedPastPromise
-		}},
-		{"sample of one", func(w *world) {
-			w.sample = func(_ *group.Record, answers []Answer) (Sample, bool) {
-				return Sample{answers[0].Status.Received, answers[0].AskedAt}, true
-			}
-		}},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			if fault, _ := search(tt.breakIt); fault == "" {
-				t.Error("got no fault, want the model to catch it")
-			}
-		})
+// changed lets Choose see another need than the one that is checked.
+func changed(change func(n *Need, now clock.Millis)) func(*world) {
+	return func(w *world) {
+		w.choose = func(v *View, now clock.Millis, n Need, pick func(int) int) Choice {
+			change(&n, now)
+			return Choose(v, now, n, pick)
+		}
 	}
 }
 
-func confirmedByPosition(v *View, point position.Point) bool {
-	n := 0
-	for i := range v.Targets {
-		if v.Targets[i].Status.Received.Position >= point.Position {
-			n++
+// counted confirms a point by a majority of the statuses that count says hold it.
+func counted(count func(s group.Status, p position.Point) bool) func(*world) {
+	return func(w *world) {
+		w.confirm = func(v *View, p position.Point) bool {
+			n := 0
+			for i := range v.Targets {
+				if count(v.Targets[i].Status, p) {
+					n++
+				}
+			}
+			return n >= v.Record.Majority()
 		}
 	}
-	return n >= v.Record.Majority()
 }
 
-func confirmedPastPromise(v *View, point position.Point) bool {
-	n := 0
-	for i := range v.Targets {
-		s := v.Targets[i].Status
-		if s.Received.Term == point.Term && s.Received.Position >= point.Position {
-			n++
+func TestModelCatchesBrokenDecisions(t *testing.T) {
+	tests := map[string]func(*world){
+		"no floor":   changed(func(n *Need, _ clock.Millis) { n.Floor = position.Point{} }),
+		"no sample":  changed(func(n *Need, now clock.Millis) { n.Fresh = Sample{AskedAt: now} }),
+		"old sample": changed(func(n *Need, _ clock.Millis) { n.Request.MaxAge *= 10 }),
+		"positions without terms": changed(func(n *Need, _ clock.Millis) {
+			n.Floor.Term, n.Fresh.Point.Term = 1, 1
+		}),
+		"acknowledged by the primary alone": counted(func(group.Status, position.Point) bool { return true }),
+		"acknowledged in another term": counted(func(s group.Status, p position.Point) bool {
+			return s.Received.Position >= p.Position
+		}),
+		"acknowledged past the promise": counted(func(s group.Status, p position.Point) bool {
+			return s.Received.Term == p.Term && s.Received.Position >= p.Position
+		}),
+		"sample of one": func(w *world) {
+			w.sample = func(_ *group.Record, answers []Answer) (Sample, bool) {
+				return Sample{answers[0].Status.Received, answers[0].AskedAt}, true
+			}
+		},
+	}
+	for name, breakIt := range tests {
+		if fault, _ := search(breakIt); fault == "" {
+			t.Errorf("got no fault for %s, want the model to catch it", name)
 		}
 	}
-	return n >= v.Record.Majority()
 }
--- a/internal/request/route/primary.go
+++ b/internal/request/route/primary.go
@@ -43,39 +43,39 @@
 	return l, ReasonWrite
 }
 
-// termOf returns the term in which t is primary, if that is certain.
+// termOf returns the term in which t is primary, if that is certain: a primary's log is in the term it was promoted at.
 func termOf(v *View, t *TargetView) (position.Term, bool) {
-	if followed(v, t) >= v.Record.Majority() && t.Status.Promise > v.Record.Term {
-		return t.Status.Promise, true
+	if term := t.Status.Received.Term; term > v.Record.Term && followed(v, t, term) >= v.Record.Majority() {
+		return term, true
 	}
-	if t.ID == v.Record.Primary && joined(t, v.Record.Term) {
-		return v.Record.Term, true
+	if t.ID != v.Record.Primary {
+		return 0, false
 	}
-	return 0, false
+	return v.Record.Term, v.Record.Term <= firstTerm || t.Status.Received.Term >= v.Record.Term
 }
 
-// joined reports whether t is known to have been ordered into the term or to hold log written in it; an older status may be of an earlier role.
-func joined(t *TargetView, term position.Term) bool {
-	return term <= firstTerm || t.Status.Promise >= term || t.Status.Received.Term >= term
-}
-
-// followed counts t and the targets that its own holder ordered to follow it in its term.
+// followed counts t and the targets that were ordered to follow it in the term.
 // A majority of them proves t even while the record lags behind: a fenced target follows nobody,
 // and only the holder that it promised can make it follow.
-func followed(v *View, t *TargetView) int {
+func followed(v *View, t *TargetView, term position.Term) int {
 	n := 1
 	for i := range v.Targets {
 		r := &v.Targets[i]
-		if r.ID == t.ID || r.Status.Following != t.ID {
+		if r.ID == t.ID || r.Status.Following != t.ID || r.Status.Promise != term {
 			continue
 		}
-		if r.Status.Promise == t.Status.Promise && r.Status.Holder == t.Status.Holder {
+		if t.Status.Promise != term || r.Status.Holder == t.Status.Holder {
 			n++
 		}
 	}
 	return n
 }
 
+// joined reports whether a replica is known to have been ordered into the term or to hold log written in it; an older status may be of an earlier role.
+func joined(t *TargetView, term position.Term) bool {
+	return term <= firstTerm || t.Status.Promise >= term || t.Status.Received.Term >= term
+}
+
 func promisedAbove(v *View, term position.Term) int {
 	n := 0
 	for i := range v.Targets {
