trial: run a statement through any daemon to the right target and back

Cause: the whole path has to run end to end before its parts are made whole. Change: control loop, probes, router, daemon, serve and try; three daemons over loopback on a stand-in group, sessions that roam, five faults, and checks of the final state and the sessions' own histories.

--- /dev/null
+++ b/internal/command/doc.go
@@ -0,0 +1,2 @@
+// Package command holds the command line, one file a command.
+package command
--- /dev/null
+++ b/internal/command/try.go
@@ -0,0 +1,96 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/cactusfork/cactusfork/internal/process/entry"
+	"github.com/cactusfork/cactusfork/internal/trial"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+func newTry(stdout, stderr io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "try",
+		Usage: "run three daemons on embedded stand-ins and load them",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address of the first daemon; the others take the next ports"},
+			&cli.IntFlag{Name: "seconds", Value: 5, Usage: "length of the load; 0 serves without load until interrupted"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the sessions"},
+			&cli.StringFlag{Name: "fault", Value: string(trial.NoFault), Usage: "none, primary-crash, primary-cut, replicas-lag, platform-down or daemon-crash"},
+			&cli.StringFlag{Name: "policy", Value: string(entry.Default), Usage: "default or primary-only"},
+			&cli.StringFlag{Name: "report", Value: "text", Usage: "text or json"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error { return try(ctx, c, stdout, stderr) },
+	}
+}
+
+func try(ctx context.Context, c *cli.Command, stdout, stderr io.Writer) error {
+	cfg, err := tryConfig(c)
+	if err != nil {
+		return &badInput{err: err}
+	}
+	cfg.Started = func(s *trial.Stage) { printStage(stdout, s) }
+	r, err := trial.Run(ctx, cfg, clock.System(), newLog(stderr, zapcore.ErrorLevel))
+	if err != nil {
+		return fmt.Errorf("trial: %w", err)
+	}
+	if r == nil {
+		return nil
+	}
+	return printReport(stdout, c.String("report"), r)
+}
+
+func tryConfig(c *cli.Command) (*trial.Config, error) {
+	fault, err := trial.ParseFault(c.String("fault"))
+	if err != nil {
+		return nil, err
+	}
+	policy, err := entry.ParsePolicy(c.String("policy"))
+	if err != nil {
+		return nil, err
+	}
+	if r := c.String("report"); r != "text" && r != "json" {
+		return nil, fmt.Errorf("got report %q, want text or json", r)
+	}
+	seconds := c.Int("seconds")
+	if seconds < 0 {
+		return nil, fmt.Errorf("got %d seconds, want 0 or more", seconds)
+	}
+	return &trial.Config{
+		Listen: c.String("listen"),
+		Length: clock.Millis(seconds) * clock.Second,
+		Seed:   c.Uint64("seed"),
+		Fault:  fault,
+		Policy: policy,
+	}, nil
+}
+
+func printStage(w io.Writer, s *trial.Stage) {
+	_, _ = fmt.Fprintf(w, "callers: %s (user precios, database precios, no password)\n", strings.Join(s.Addresses(), " "))
+	_, _ = fmt.Fprintf(w, "admin: %s\n", strings.Join(s.AdminAddresses(), " "))
+}
+
+func printReport(w io.Writer, form string, r *trial.Report) error {
+	text, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode report: %w", err)
+	}
+	if form == "json" {
+		_, err = fmt.Fprintf(w, "%s\n", text)
+		return err
+	}
+	for _, part := range strings.Split(strings.Trim(string(text), "{}"), ",\"") {
+		name, value, _ := strings.Cut(part, ":")
+		if _, err := fmt.Fprintf(w, "%-24s %s\n", strings.Trim(name, `"`), value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/control/views.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/cactusfork/cactusfork/internal/process/probe"
+	"github.com/cactusfork/cactusfork/internal/request/route"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/service"
+)
+
+// Snapshot is the immutable state that traffic reads.
+type Snapshot struct {
+	Services map[service.Name]*service.Service
+	Groups   map[group.ID]*Cell
+}
+
+// Cell holds the view of one group, replaced as a whole.
+type Cell struct {
+	watch   *probe.Group
+	view    atomic.Pointer[route.View]
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+func newCell(v *route.View, w *probe.Group) *Cell {
+	c := &Cell{watch: w, changed: make(chan struct{})}
+	c.view.Store(v)
+	return c
+}
+
+// Load returns the view in force and a channel that closes when another comes.
+func (c *Cell) Load() (*route.View, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Load(), c.changed
+}
+
+// Watch returns the prober of the group's targets.
+func (c *Cell) Watch() *probe.Group { return c.watch }
+
+// View returns the view in force.
+func (c *Cell) View() *route.View { return c.view.Load() }
+
+func (c *Cell) store(v *route.View) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.Store(v)
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/process/entry/admin.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cactusfork/cactusfork/internal/process/peer"
+	"github.com/cactusfork/cactusfork/internal/process/platform"
+)
+
+// headerTimeout bounds how long a request over HTTP may take to name itself.
+const headerTimeout = 5 * time.Second
+
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(d.mesh.Handler())
+	return mux
+}
+
+func (d *Daemon) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", d.health)
+	mux.HandleFunc("GET /status", d.status)
+	mux.HandleFunc("GET /events", d.events)
+	mux.HandleFunc("GET /metrics", d.metrics)
+	return mux
+}
+
+// health tells the balancer whether to send new callers here.
+func (d *Daemon) health(w http.ResponseWriter, _ *http.Request) {
+	if !d.Ready() {
+		http.Error(w, "draining or starting", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (d *Daemon) status(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.Status()) }
+
+func (d *Daemon) events(w http.ResponseWriter, _ *http.Request) {
+	enc := json.NewEncoder(w)
+	for _, e := range d.p.Events.Events() {
+		if enc.Encode(e) != nil {
+			return
+		}
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func version(v platform.Version) string { return strconv.FormatUint(uint64(v), 10) }
+
+func names(all []peer.Member) string {
+	out := make([]string, 0, len(all))
+	for _, m := range all {
+		out = append(out, string(m.ID))
+	}
+	return strings.Join(out, " ")
+}
--- /dev/null
+++ b/internal/process/entry/daemon.go
@@ -0,0 +1,291 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/cactusfork/cactusfork/internal/connection/caller"
+	"github.com/cactusfork/cactusfork/internal/process/config"
+	"github.com/cactusfork/cactusfork/internal/process/control"
+	"github.com/cactusfork/cactusfork/internal/process/peer"
+	"github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/internal/process/probe"
+	"github.com/cactusfork/cactusfork/internal/request/route"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/service"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/event"
+	"github.com/cactusfork/cactusfork/pkg/token"
+)
+
+const (
+	// viewsAsked is how many peers are asked before a primary is held to have failed.
+	viewsAsked = 3
+	// probePause is the least time between two questions to a target while a request waits, in milliseconds.
+	probePause clock.Millis = 1
+)
+
+// Config is all that a daemon needs to know at start.
+type Config struct {
+	ID         group.DaemonID
+	DataCentre group.DataCentre
+	Seeds      []string
+	Policy     Policy
+	Targets    TargetConfig
+	Callers    caller.Config
+	Probe      probe.Settings
+	Machine    group.Settings
+	Period     clock.Millis // between two heartbeats
+	StoreFor   clock.Millis // for one call of the platform
+	Watchers   int          // of the platform, in each data centre
+}
+
+// Parts are what the daemon is joined to; Access may be left empty.
+type Parts struct {
+	Clock   *clock.Clock
+	Log     *zap.Logger
+	Events  *event.Log
+	Store   *platform.Store
+	Tokens  *token.Keys
+	Callers net.Listener
+	Peers   net.Listener
+	Admin   net.Listener
+	Access  Access
+}
+
+// Daemon is one running process of the proxy.
+type Daemon struct {
+	cfg     Config
+	p       Parts
+	targets *targets
+	holder  *config.Holder
+	mesh    *peer.Mesh
+	loop    *control.Loop
+	router  *router
+	server  *caller.Server
+	meter   *meter
+	ready   atomic.Bool
+}
+
+// New joins the parts of a daemon; nothing runs before Run.
+func New(cfg *Config, p *Parts) *Daemon {
+	d := &Daemon{cfg: *cfg, p: *p}
+	d.meter = newMeter(d.event)
+	d.targets = newTargets(&cfg.Targets, p.Clock)
+	d.loop = control.New(d.controlConfig(), p.Clock, d.controlSeams())
+	d.holder = config.New(d.holderConfig(), p.Clock, d.holderSeams())
+	d.mesh = peer.New(peer.Config{
+		ID:         cfg.ID,
+		Address:    p.Peers.Addr().String(),
+		DataCentre: cfg.DataCentre,
+		Period:     cfg.Period,
+		TLS:        p.Access.PeerTLS,
+	}, p.Clock, d.peerSeams())
+	d.router = &router{clk: p.Clock, loop: d.loop, targets: d.targets, policy: cfg.Policy, place: cfg.DataCentre, meter: d.meter}
+	d.server = caller.New(cfg.Callers, d.callerSeams())
+	return d
+}
+
+// Run serves until ctx ends, then drains and stops; the end of abort stops it at once, as a crash does.
+func (d *Daemon) Run(ctx, abort context.Context) error {
+	inner, stop := context.WithCancel(abort)
+	defer stop()
+	var wg sync.WaitGroup
+	d.event(event.Event{Kind: event.Started})
+	wg.Go(func() { d.loop.Run(inner) })
+	wg.Go(func() { d.targets.run(inner) })
+	wg.Go(func() { d.report("peers", d.mesh.Run(inner)) })
+	wg.Go(func() { d.report("configuration", d.holder.Run(inner)) })
+	wg.Go(func() { d.follow(inner) })
+	wg.Go(func() { d.watchVMs(inner) })
+	wg.Go(func() { d.count(inner) })
+	wg.Go(func() { d.share(inner) })
+	wg.Go(func() { d.serveHTTP(inner, d.p.Peers, d.peerHandler(), d.p.Access.PeerTLS) })
+	wg.Go(func() { d.serveHTTP(inner, d.p.Admin, d.adminHandler(), d.p.Access.AdminTLS) })
+	leaving := context.AfterFunc(ctx, func() { d.leave(inner) })
+	defer leaving()
+	err := d.server.Serve(ctx, d.p.Callers)
+	d.event(event.Event{Kind: event.Stopped})
+	stop()
+	wg.Wait()
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return eris.Wrap(err, "serve callers")
+	}
+	return nil
+}
+
+// Serves reports whether the daemon would send a write of the group to its primary now.
+func (d *Daemon) Serves(id group.ID) bool {
+	c, ok := d.loop.Snapshot().Groups[id]
+	if !ok {
+		return false
+	}
+	v := c.View()
+	_, term, _ := route.PrimaryOf(v)
+	return term > 0 && !v.Changing && len(v.Samples) > 0
+}
+
+// Flush writes the counts at hand to the time line.
+func (d *Daemon) Flush() { d.meter.flush() }
+
+// Ready reports whether the daemon takes new callers.
+func (d *Daemon) Ready() bool { return d.ready.Load() }
+
+// leave tells the balancer and the peers before callers notice anything.
+func (d *Daemon) leave(ctx context.Context) {
+	d.ready.Store(false)
+	d.event(event.Event{Kind: event.Draining})
+	if err := d.mesh.Leave(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		d.p.Log.Warn("leave peers", zap.Error(err))
+	}
+}
+
+func (d *Daemon) report(part string, err error) {
+	if err != nil && !errors.Is(err, context.Canceled) {
+		d.p.Log.Error("part ended", zap.String("part", part), zap.Error(err))
+	}
+}
+
+func (d *Daemon) event(e event.Event) {
+	if err := d.p.Events.Add(e); err != nil {
+		d.p.Log.Error("time line", zap.Error(err))
+	}
+}
+
+func (d *Daemon) controlConfig() *control.Config {
+	return &control.Config{
+		Self:     d.cfg.ID,
+		Machine:  d.cfg.Machine,
+		Probe:    d.cfg.Probe,
+		OrderFor: d.cfg.Probe.Timeout * 2,
+		StoreFor: d.cfg.StoreFor,
+		PeersFor: d.cfg.Probe.Timeout,
+	}
+}
+
+func (d *Daemon) controlSeams() control.Seams {
+	return control.Seams{
+		Dial:     d.targets.dial,
+		Order:    d.targets.order,
+		AskViews: d.askViews,
+		Store:    d.p.Store,
+		Random:   rand.Float64,
+		Load:     d.targets.load,
+		Report:   d.event,
+	}
+}
+
+func (d *Daemon) askViews(ctx context.Context, id group.ID, t group.TargetID) []control.View {
+	var out []control.View
+	for _, v := range d.mesh.AskView(ctx, id, t, viewsAsked) {
+		out = append(out, control.View{Daemon: v.Daemon, Reachable: reaches[v.Reach]})
+	}
+	return out
+}
+
+// reaches turns a peer's answer into the machine's.
+var reaches = map[peer.Reach]group.ViewAnswer{
+	peer.Unknown:     group.Unknown,
+	peer.Reachable:   group.Reachable,
+	peer.Unreachable: group.Unreachable,
+}
+
+func (d *Daemon) holderConfig() config.Config {
+	cfg := config.Defaults(d.cfg.ID, d.cfg.DataCentre)
+	if d.cfg.Watchers > 0 {
+		cfg.Watchers = d.cfg.Watchers
+	}
+	return cfg
+}
+
+func (d *Daemon) holderSeams() config.Seams {
+	return config.Seams{
+		Store:          d.p.Store,
+		Live:           func() []peer.Member { return d.mesh.Live() },
+		FetchFromPeers: func(ctx context.Context) ([]platform.Object, error) { return d.mesh.FetchObjects(ctx) },
+		Jitter:         rand.Float64,
+		Validate:       validate,
+		Report: func(key platform.Key, v platform.Version, err error) {
+			d.p.Log.Warn("object kept out", zap.String("key", string(key)), zap.Uint64("version", uint64(v)), zap.Error(err))
+		},
+		Spread: func(ctx context.Context) { _ = d.mesh.Nudge(ctx) },
+	}
+}
+
+func (d *Daemon) peerSeams() peer.Seams {
+	return peer.Seams{
+		Seeds:   d.seeds,
+		View:    d.viewFor,
+		Objects: func(held []peer.KeyVersion) []platform.Object { return d.holder.Newer(held) },
+		Digest:  func() peer.Digest { return d.holder.Digest() },
+		Demand:  d.demand,
+		Learnt:  func(objects []platform.Object) { d.holder.Apply(objects) },
+		Changed: d.membersChanged,
+	}
+}
+
+func (d *Daemon) callerSeams() caller.Seams {
+	s := caller.Seams{
+		Service:     d.router.service,
+		Allowed:     d.p.Access.Allowed,
+		Credentials: d.p.Access.Credentials,
+		TLS:         d.p.Access.CallerTLS,
+		RequireTLS:  d.p.Access.RequireTLS,
+		Tokens:      func() *token.Keys { return d.p.Tokens },
+		Acquire:     d.router.acquire,
+		Floor:       d.router.floor,
+		Confirm:     d.router.confirm,
+		Report:      d.meter.take,
+	}
+	if d.p.Access.Alter != nil {
+		d.p.Access.Alter(&s)
+	}
+	return s
+}
+
+// validate refuses an object that this daemon could not put into force.
+func validate(o platform.Object) error {
+	if name, ok := cut(o.Key, config.Services); ok {
+		s, err := service.Decode(o.Value)
+		if err != nil {
+			return fmt.Errorf("decode service: %w", err)
+		}
+		if string(s.Name) != name {
+			return fmt.Errorf("service %s under the key of %s", s.Name, name)
+		}
+		return nil
+	}
+	var rec group.Record
+	if err := json.Unmarshal(o.Value, &rec); err != nil {
+		return fmt.Errorf("decode group: %w", err)
+	}
+	if len(rec.Targets) == 0 {
+		return errors.New("group without targets")
+	}
+	return nil
+}
+
+func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, h http.Handler, tlsCfg tlsConfig) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, TLSConfig: tlsCfg}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	var err error
+	if tlsCfg != nil {
+		err = s.ServeTLS(l, "", "")
+	} else {
+		err = s.Serve(l)
+	}
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.p.Log.Error("serve http", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/process/entry/defaults.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"github.com/cactusfork/cactusfork/internal/connection/caller"
+	"github.com/cactusfork/cactusfork/internal/process/probe"
+	"github.com/cactusfork/cactusfork/internal/process/settings"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// Defaults returns the configuration of a daemon with the customary bounds.
+func Defaults(id group.DaemonID, place group.DataCentre) Config {
+	return Config{
+		ID:         id,
+		DataCentre: place,
+		Policy:     Default,
+		Targets: TargetConfig{
+			User:        "cactusfork",
+			Warm:        1,
+			DialTimeout: clock.Second,
+			IdleTimeout: 60 * clock.Second,
+			Queue:       512,
+		},
+		Callers:  caller.Config{DataCentre: place, RequestTimeout: 10 * clock.Second, MaxConnections: 5000},
+		Probe:    probe.Settings{Interval: 100, Timeout: 250, Pause: probePause},
+		Machine:  group.DefaultSettings(),
+		Period:   250,
+		StoreFor: clock.Second,
+		Watchers: 2,
+	}
+}
+
+// FromSettings turns checked settings into the configuration of a daemon.
+func FromSettings(s *settings.Settings) Config {
+	cfg := Defaults(group.DaemonID(s.Daemon.ID), group.DataCentre(s.Daemon.DataCentre))
+	cfg.Seeds = s.Peers.Seeds
+	cfg.Period = s.Peers.Period
+	cfg.StoreFor = s.Platform.Timeout
+	cfg.Watchers = s.Platform.Watchers
+	cfg.Targets.User = s.Targets.User
+	cfg.Targets.Warm = s.Targets.Warm
+	cfg.Targets.DialTimeout = s.Targets.DialTimeout
+	cfg.Targets.IdleTimeout = s.Targets.IdleTimeout
+	cfg.Targets.Queue = s.Callers.Queue
+	cfg.Callers.MaxConnections = s.Callers.Connections
+	cfg.Callers.RequestTimeout = s.Callers.Deadline
+	cfg.Callers.DrainTimeout = s.Callers.Drain
+	cfg.Probe.Interval = s.Failover.ProbeInterval
+	cfg.Probe.Timeout = s.Failover.ProbeTimeout
+	cfg.Machine.ProbeInterval = s.Failover.ProbeInterval
+	cfg.Machine.ProbeTimeout = s.Failover.ProbeTimeout
+	return cfg
+}
--- /dev/null
+++ b/internal/process/entry/vms.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/cactusfork/cactusfork/internal/process/peer"
+	"github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/event"
+)
+
+// vmInterval is the time between two reads of the platform's VM list.
+const vmInterval = 2 * clock.Second
+
+// watchVMs reads the VM list until ctx ends, and hands over the targets that are leaving.
+func (d *Daemon) watchVMs(ctx context.Context) {
+	for {
+		if vms, err := d.vms(ctx); err == nil {
+			d.loop.Leaving(ctx, d.leavingTargets(vms))
+		}
+		if d.p.Clock.Sleep(ctx, vmInterval) != nil {
+			return
+		}
+	}
+}
+
+func (d *Daemon) vms(ctx context.Context) ([]platform.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.StoreFor.Duration())
+	defer cancel()
+	return d.p.Store.VMs(ctx)
+}
+
+func (d *Daemon) leavingTargets(vms []platform.VM) []group.TargetID {
+	leaving := make(map[string]bool)
+	for _, vm := range vms {
+		leaving[vm.Address] = vm.Leaving
+	}
+	var out []group.TargetID
+	for _, c := range d.loop.Snapshot().Groups {
+		for _, t := range c.View().Record.Targets {
+			if leaving[t.Address] {
+				out = append(out, t.ID)
+			}
+		}
+	}
+	return out
+}
+
+// seeds are the addresses at which other daemons may be found.
+func (d *Daemon) seeds(context.Context) ([]string, error) { return d.cfg.Seeds, nil }
+
+// viewFor answers a peer that asks whether this daemon reaches a target.
+func (d *Daemon) viewFor(id group.ID, t group.TargetID) peer.View {
+	v := peer.View{Daemon: d.cfg.ID}
+	c, ok := d.loop.Snapshot().Groups[id]
+	if !ok {
+		return v
+	}
+	for _, o := range c.View().Targets {
+		if o.ID != t || o.AskedAt == 0 {
+			continue
+		}
+		v.Ago = d.p.Clock.Now() - o.AskedAt
+		v.Reach = peer.Reachable
+		if o.Down || v.Ago > 3*d.cfg.Probe.Interval {
+			v.Reach = peer.Unreachable
+		}
+	}
+	return v
+}
+
+// demand is what this daemon wants of each target, told to peers with each heartbeat.
+func (d *Daemon) demand() []peer.Demand {
+	var out []peer.Demand
+	for id, c := range d.loop.Snapshot().Groups {
+		for _, t := range c.View().Record.Targets {
+			l := d.targets.load(t.ID)
+			out = append(out, peer.Demand{Group: id, Target: t.ID, Statements: l.Busy + l.Waiting})
+		}
+	}
+	return out
+}
+
+// membersChanged puts the live daemons on the time line.
+func (d *Daemon) membersChanged() {
+	d.event(event.Event{Kind: event.PeerJoined, Detail: names(d.mesh.Live())})
+}
--- /dev/null
+++ b/internal/trial/config.go
@@ -0,0 +1,88 @@
+package trial
+
+import (
+	"fmt"
+
+	"github.com/cactusfork/cactusfork/internal/connection/caller"
+	"github.com/cactusfork/cactusfork/internal/process/entry"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// Fault names what goes wrong during a trial.
+type Fault string
+
+// The faults.
+const (
+	NoFault      Fault = "none"
+	PrimaryCrash Fault = "primary-crash"
+	PrimaryCut   Fault = "primary-cut"
+	ReplicasLag  Fault = "replicas-lag"
+	PlatformDown Fault = "platform-down"
+	DaemonCrash  Fault = "daemon-crash"
+)
+
+// Faults lists all faults.
+func Faults() []Fault {
+	return []Fault{NoFault, PrimaryCrash, PrimaryCut, ReplicasLag, PlatformDown, DaemonCrash}
+}
+
+// ParseFault checks the name of a fault.
+func ParseFault(text string) (Fault, error) {
+	for _, f := range Faults() {
+		if string(f) == text {
+			return f, nil
+		}
+	}
+	return "", fmt.Errorf("got fault %q, want one of %v", text, Faults())
+}
+
+// Config says what a trial does.
+type Config struct {
+	// Listen is the address of the first daemon; the others take the next ports. Port 0 gives each a free one.
+	Listen string
+	// Length is how long the load runs; 0 means no load, until the context ends.
+	Length clock.Millis
+	Seed   uint64
+	Fault  Fault
+	Policy entry.Policy
+	// Sessions is the number of sessions at work at a time.
+	Sessions int
+	// Lag is the time between receiving and applying on replicas.
+	Lag clock.Millis
+	// Alter lets a test break what a daemon promises.
+	Alter func(s *caller.Seams)
+	// Driver lets a test break how sessions run statements.
+	Driver func(d *Driver)
+	// Started is called once all daemons serve, with their addresses.
+	Started func(s *Stage)
+}
+
+const (
+	// daemons is the number of daemons of a trial.
+	daemons = 3
+	// members is the number of targets of a trial's group.
+	members = 3
+	// defaultSessions is the number of sessions unless configured.
+	defaultSessions = 8
+	// defaultLag is the lag of replicas unless configured, in milliseconds.
+	defaultLag clock.Millis = 20
+)
+
+func (c Config) withDefaults() Config {
+	if c.Listen == "" {
+		c.Listen = "127.0.0.1:0"
+	}
+	if c.Sessions == 0 {
+		c.Sessions = defaultSessions
+	}
+	if c.Lag == 0 {
+		c.Lag = defaultLag
+	}
+	if c.Policy == "" {
+		c.Policy = entry.Default
+	}
+	if c.Fault == "" {
+		c.Fault = NoFault
+	}
+	return c
+}
--- /dev/null
+++ b/internal/trial/fault.go
@@ -0,0 +1,113 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+
+	targetstand "github.com/cactusfork/cactusfork/internal/standin/target"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// laggedBy is the lag of replicas while they are made to lag, in milliseconds.
+const laggedBy clock.Millis = 1500
+
+// inject brings the fault about after a third of the length and heals it after two thirds; it returns when the fault began, 0 for none.
+func (s *Stage) inject(ctx context.Context, length clock.Millis) (clock.Millis, error) {
+	if s.cfg.Fault == NoFault {
+		return 0, nil
+	}
+	if err := s.clk.Sleep(ctx, length/3); err != nil {
+		return 0, err
+	}
+	began := s.clk.Now()
+	heal, err := s.begin()
+	if err != nil {
+		return began, err
+	}
+	err = s.clk.Sleep(ctx, length/3)
+	if h := heal(ctx); h != nil {
+		return began, fmt.Errorf("heal %s: %w", s.cfg.Fault, h)
+	}
+	return began, err
+}
+
+// begin brings the fault about and returns what heals it.
+func (s *Stage) begin() (func(context.Context) error, error) {
+	primary := s.primary()
+	switch s.cfg.Fault {
+	case PrimaryCrash:
+		primary.Crash()
+		return func(ctx context.Context) error { return primary.Restart(ctx) }, nil
+	case PrimaryCut:
+		s.Network.CutOff(primary.ID())
+		return healed(s.Network.Heal), nil
+	case ReplicasLag:
+		s.lagReplicas(laggedBy)
+		return healed(func() { s.lagReplicas(s.cfg.Lag) }), nil
+	case PlatformDown:
+		s.Platform.Down(true)
+		return healed(func() { s.Platform.Down(false) }), nil
+	case DaemonCrash:
+		s.actors[0].kill()
+		return healed(func() {}), nil
+	}
+	return nil, fmt.Errorf("unknown fault %q", s.cfg.Fault)
+}
+
+func healed(f func()) func(context.Context) error {
+	return func(context.Context) error {
+		f()
+		return nil
+	}
+}
+
+func (s *Stage) lagReplicas(lag clock.Millis) {
+	for _, t := range s.Targets {
+		if !t.Status().Primary {
+			t.SetLag(lag)
+		}
+	}
+}
+
+// primary is the target that takes writes at the highest term.
+func (s *Stage) primary() *targetstand.Target {
+	best := s.Targets[0]
+	for _, t := range s.Targets {
+		if st := t.Status(); st.Primary && st.Received.Term >= best.Status().Received.Term {
+			best = t
+		}
+	}
+	return best
+}
+
+// cuttable is a listener whose connections can all be cut at once, as the death of the process does.
+type cuttable struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// Accept returns the next connection and remembers it.
+func (l *cuttable) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, c)
+	return c, nil
+}
+
+// kill ends a daemon without a word to anyone.
+func (a *actor) kill() {
+	_ = a.callers.Close()
+	a.callers.mu.Lock()
+	for _, c := range a.callers.conns {
+		_ = c.Close()
+	}
+	a.callers.mu.Unlock()
+	a.crash()
+}
--- /dev/null
+++ b/internal/trial/report.go
@@ -0,0 +1,138 @@
+package trial
+
+import (
+	"github.com/cactusfork/cactusfork/internal/process/entry"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/event"
+)
+
+const (
+	// gapTarget is the failover gap at which the score for it reaches 0, in milliseconds.
+	gapTarget clock.Millis = 9000
+	// readWeight and writeWeight are how Agroprecios counts requests.
+	readWeight, writeWeight = 1, 2
+	// gapShare and its companions are the parts of the two scores, which add up to 100.
+	agropreciosGap, agropreciosServed, agropreciosReplica = 60, 20, 20
+	caltanissettaGap, caltanissettaReplica                = 70, 30
+)
+
+// Report is what a trial found, as --report json prints it.
+type Report struct {
+	Fault            Fault        `json:"fault"`
+	Policy           entry.Policy `json:"policy"`
+	Seed             uint64       `json:"seed"`
+	Seconds          float64      `json:"seconds"`
+	Reads            int          `json:"reads"`
+	ReplicaReads     int          `json:"replica-reads"`
+	ReplicaReadShare float64      `json:"replica-read-share"`
+	WritesAcked      int          `json:"writes-acknowledged"`
+	Losses
+	UnknownOutcomes    int           `json:"unknown-outcomes"`
+	Refused            int           `json:"refused"`
+	Failed             int           `json:"failed"`
+	FailoverGap        *clock.Millis `json:"failover-gap-ms"`
+	RequestsAsked      int64         `json:"requests-asked"`
+	RequestsSent       int64         `json:"requests-sent"`
+	PlatformCalls      uint64        `json:"platform-calls"`
+	WriteMedian        clock.Millis  `json:"write-median-ms"`
+	Write95            clock.Millis  `json:"write-p95-ms"`
+	Changes            int           `json:"primary-changes"`
+	AgropreciosScore   float64       `json:"score-agroprecios"`
+	CaltanissettaScore float64       `json:"score-caltanissetta"`
+}
+
+// primaryFails tells the faults after which a failover gap is measured.
+func (f Fault) primaryFails() bool { return f == PrimaryCrash || f == PrimaryCut }
+
+// gap is the time from the fault to the first acknowledgement of a write that began after it; nil when there was none.
+func gap(h *History, fault clock.Millis) *clock.Millis {
+	var best *clock.Millis
+	for i := range h.Writes {
+		w := &h.Writes[i]
+		if w.Fate != Acknowledged || w.Began < fault {
+			continue
+		}
+		took := w.Finished - fault
+		if best == nil || took < *best {
+			best = &took
+		}
+	}
+	return best
+}
+
+// tally fills in what the sessions saw.
+func (r *Report) tally(h *History) {
+	for i := range h.Writes {
+		switch h.Writes[i].Fate {
+		case Acknowledged:
+			r.WritesAcked++
+		case Unknown:
+			r.UnknownOutcomes++
+		case NotRun:
+			r.Refused++
+		case Failed:
+			r.Failed++
+		}
+	}
+	for i := range h.Reads {
+		if h.Reads[i].Fate == Acknowledged {
+			r.Reads++
+		} else {
+			r.Failed++
+		}
+	}
+	r.latency(h)
+}
+
+// count adds what the daemons counted.
+func (r *Report) count(events []event.Event) {
+	for i := range events {
+		e := &events[i]
+		switch e.Kind {
+		case event.Counted:
+			r.ReplicaReads += int(e.Counts.ReplicaReads)
+			r.RequestsAsked += e.Counts.Asked
+			r.RequestsSent += e.Counts.Sent
+		case event.Promoted:
+			r.Changes++
+		}
+	}
+	if r.Reads > 0 {
+		r.ReplicaReadShare = float64(r.ReplicaReads) / float64(r.Reads)
+	}
+}
+
+// score weighs the figures as the two users do.
+func (r *Report) score(h *History) {
+	gapScore := 1.0
+	if r.Fault.primaryFails() {
+		gapScore = 0
+		if r.FailoverGap != nil {
+			gapScore = max(0, 1-float64(*r.FailoverGap)/float64(gapTarget))
+		}
+	}
+	served := servedShare(h)
+	r.AgropreciosScore = agropreciosGap*gapScore + agropreciosServed*served + agropreciosReplica*r.ReplicaReadShare
+	r.CaltanissettaScore = caltanissettaGap*gapScore + caltanissettaReplica*r.ReplicaReadShare
+}
+
+// servedShare is the share of requests answered, entries and revisions counting double.
+func servedShare(h *History) float64 {
+	asked, served := 0, 0
+	for i := range h.Writes {
+		asked += writeWeight
+		if h.Writes[i].Fate == Acknowledged {
+			served += writeWeight
+		}
+	}
+	for i := range h.Reads {
+		asked += readWeight
+		if h.Reads[i].Fate == Acknowledged {
+			served += readWeight
+		}
+	}
+	if asked == 0 {
+		return 0
+	}
+	return float64(served) / float64(asked)
+}
--- /dev/null
+++ b/internal/trial/run.go
@@ -0,0 +1,162 @@
+package trial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+const (
+	// settleLimit bounds the wait for daemons to serve and for the final state to settle.
+	settleLimit = 20 * clock.Second
+	// settlePoll is the time between two looks while waiting, in milliseconds.
+	settlePoll clock.Millis = 20
+)
+
+// Run stages a trial and returns its figures.
+func Run(ctx context.Context, cfg *Config, clk *clock.Clock, log *zap.Logger) (*Report, error) {
+	s, err := NewStage(ctx, cfg, clk, log)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	if err := s.awaitReady(ctx); err != nil {
+		return nil, err
+	}
+	if s.cfg.Started != nil {
+		s.cfg.Started(s)
+	}
+	if s.cfg.Length == 0 {
+		<-ctx.Done()
+		return nil, nil
+	}
+	return s.measure(ctx)
+}
+
+func (s *Stage) measure(ctx context.Context) (*Report, error) {
+	h := &History{}
+	l := &load{clk: s.clk, addresses: s.Addresses(), driver: NewDriver(), history: h}
+	if s.cfg.Driver != nil {
+		s.cfg.Driver(l.driver)
+	}
+	began, err := s.play(ctx, l)
+	if err != nil {
+		return nil, err
+	}
+	final, err := s.final(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, a := range s.actors {
+		a.daemon.Flush()
+	}
+	r := &Report{Fault: s.cfg.Fault, Policy: s.cfg.Policy, Seed: s.cfg.Seed, Seconds: s.cfg.Length.Duration().Seconds()}
+	r.Losses = Check(h, final)
+	r.tally(h)
+	if s.cfg.Fault.primaryFails() {
+		r.FailoverGap = gap(h, began)
+	}
+	for _, e := range s.Events {
+		r.count(e.Events())
+	}
+	r.PlatformCalls = s.Platform.Calls().Total()
+	r.score(h)
+	return r, nil
+}
+
+// play runs the load with the fault in the middle, and returns when the fault began.
+func (s *Stage) play(ctx context.Context, l *load) (clock.Millis, error) {
+	within, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.run(within, s.cfg.Sessions, s.cfg.Seed)
+	}()
+	end := s.clk.After(s.cfg.Length)
+	began, err := s.inject(ctx, s.cfg.Length)
+	select {
+	case <-end:
+	case <-ctx.Done():
+	}
+	cancel()
+	<-done
+	return began, err
+}
+
+// awaitReady waits until every daemon serves.
+func (s *Stage) awaitReady(ctx context.Context) error {
+	return s.await(ctx, "daemons to serve", func() bool {
+		for _, a := range s.actors {
+			if !a.daemon.Serves(GroupID) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (s *Stage) await(ctx context.Context, what string, ok func() bool) error {
+	limit := s.clk.Now() + settleLimit
+	for !ok() {
+		if s.clk.Now() > limit {
+			return fmt.Errorf("waited %d ms for %s", settleLimit, what)
+		}
+		if err := s.clk.Sleep(ctx, settlePoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// final reads the rows of the leading primary once a majority holds its log.
+func (s *Stage) final(ctx context.Context) ([]Row, error) {
+	if err := s.await(ctx, "a primary with a majority", s.settled); err != nil {
+		return nil, err
+	}
+	rows, err := s.primary().Rows(ctx, "SELECT id, lot FROM quotes")
+	if err != nil {
+		return nil, fmt.Errorf("read final state: %w", err)
+	}
+	out := make([]Row, 0, len(rows))
+	for _, r := range rows {
+		if len(r) != 2 {
+			return nil, errors.New("final state has other columns than asked for")
+		}
+		out = append(out, Row{ID: r[0], Lot: r[1]})
+	}
+	return out, nil
+}
+
+func (s *Stage) settled() bool {
+	p := s.primary()
+	top := p.Status().Received
+	n := 0
+	for _, t := range s.Targets {
+		if st := t.Status(); st.Received == top && (t == p || st.Following == p.ID()) {
+			n++
+		}
+	}
+	return p.Status().Primary && n > members/2
+}
+
+// latency fills in the time of acknowledged writes.
+func (r *Report) latency(h *History) {
+	var all []clock.Millis
+	for i := range h.Writes {
+		if w := &h.Writes[i]; w.Fate == Acknowledged {
+			all = append(all, w.Finished-w.Began)
+		}
+	}
+	if len(all) == 0 {
+		return
+	}
+	slices.Sort(all)
+	r.WriteMedian = all[len(all)/2]
+	r.Write95 = all[len(all)*95/100]
+}
--- /dev/null
+++ b/internal/trial/run_test.go
@@ -0,0 +1,48 @@
+package trial
+
+import (
+	"context"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusfork/cactusfork/internal/process/entry"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// trialLength is the length of a trial in tests, in milliseconds.
+const trialLength clock.Millis = 1500
+
+func TestNoLossUnderFaults(t *testing.T) {
+	for _, f := range Faults() {
+		t.Run(string(f), func(t *testing.T) {
+			t.Parallel()
+			r := runTrial(t, &Config{Length: trialLength, Seed: 7, Fault: f})
+			if got, want := r.Losses, (Losses{}); got != want {
+				t.Errorf("got %+v, want %+v", got, want)
+			}
+			if r.WritesAcked == 0 || r.Reads == 0 {
+				t.Errorf("got %d writes and %d reads, want some of each", r.WritesAcked, r.Reads)
+			}
+			if f.primaryFails() && r.FailoverGap == nil {
+				t.Error("got no write after the fault, want one")
+			}
+		})
+	}
+}
+
+func TestPrimaryOnlyReadsNoReplica(t *testing.T) {
+	r := runTrial(t, &Config{Length: trialLength, Policy: entry.PrimaryOnly})
+	if got, want := r.ReplicaReads, 0; got != want {
+		t.Errorf("got %d replica reads, want %d", got, want)
+	}
+}
+
+func runTrial(t *testing.T, cfg *Config) *Report {
+	t.Helper()
+	r, err := Run(context.Background(), cfg, clock.System(), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/trial/stage.go
@@ -0,0 +1,273 @@
+package trial
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusfork/cactusfork/internal/process/control"
+	"github.com/cactusfork/cactusfork/internal/process/entry"
+	"github.com/cactusfork/cactusfork/internal/process/platform"
+	platformstand "github.com/cactusfork/cactusfork/internal/standin/platform"
+	targetstand "github.com/cactusfork/cactusfork/internal/standin/target"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/service"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/event"
+	"github.com/cactusfork/cactusfork/pkg/token"
+)
+
+// GroupID is the group of the demo.
+const GroupID group.ID = "precios-db-1"
+
+// Schema is the table of the demo.
+const Schema = `CREATE TABLE quotes(id text primary key, lot text, price integer)`
+
+// ServiceFile is the service file of the demo.
+const ServiceFile = `[service]
+name = precios
+group = precios-db-1
+
+[request "bulletin.lookup"]
+kind = read
+max-age = 5s
+weight = 1
+
+[request "lot.read"]
+kind = read
+weight = 1
+
+[request "quote.revise"]
+kind = write
+weight = 2
+
+[request "quote.create"]
+kind = write
+non-idempotent = true
+weight = 2
+`
+
+// dataCentres are the places of the demo's daemons and targets.
+var dataCentres = []group.DataCentre{"stgo-a", "stgo-b", "rancagua"}
+
+// Stage is the running stand-ins and daemons of a trial.
+type Stage struct {
+	cfg      Config
+	clk      *clock.Clock
+	Network  *targetstand.Network
+	Targets  []*targetstand.Target
+	Platform *platformstand.Server
+	Events   []*event.Log
+	actors   []*actor
+	work     sync.WaitGroup
+	stop     context.CancelFunc
+}
+
+// actor is one daemon on the stage.
+type actor struct {
+	daemon  *entry.Daemon
+	address string
+	admin   string
+	crash   context.CancelFunc
+	callers *cuttable
+}
+
+// NewStage starts stand-ins and daemons; they end with ctx.
+func NewStage(ctx context.Context, cfg *Config, clk *clock.Clock, log *zap.Logger) (*Stage, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &Stage{cfg: cfg.withDefaults(), clk: clk, stop: cancel}
+	if err := s.build(ctx, log); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Close ends all daemons and stand-ins, and waits for them.
+func (s *Stage) Close() {
+	s.stop()
+	s.work.Wait()
+}
+
+// Addresses are where the daemons take callers.
+func (s *Stage) Addresses() []string {
+	out := make([]string, 0, len(s.actors))
+	for _, a := range s.actors {
+		out = append(out, a.address)
+	}
+	return out
+}
+
+// AdminAddresses are where the daemons answer operators.
+func (s *Stage) AdminAddresses() []string {
+	out := make([]string, 0, len(s.actors))
+	for _, a := range s.actors {
+		out = append(out, a.admin)
+	}
+	return out
+}
+
+// Store returns a new link to the platform, as an operator's command has.
+func (s *Stage) Store() *platform.Store {
+	return platform.Dial(platform.Config{URL: s.Platform.URL(), Timeout: clock.Second}, s.clk)
+}
+
+func (s *Stage) build(ctx context.Context, log *zap.Logger) error {
+	if err := s.startTargets(ctx); err != nil {
+		return err
+	}
+	if err := s.startPlatform(ctx); err != nil {
+		return err
+	}
+	return s.startDaemons(ctx, log)
+}
+
+func (s *Stage) startTargets(ctx context.Context) error {
+	s.Network = targetstand.NewNetwork(s.clk)
+	for i := range members {
+		t, err := s.Network.Start(ctx, targetstand.Config{
+			ID:           group.TargetID(fmt.Sprintf("precios-db-1-%c", 'a'+i)),
+			DataCentre:   dataCentres[i],
+			Slots:        5,
+			Connections:  30,
+			ConnectDelay: 10,
+			Lag:          s.cfg.Lag,
+		})
+		if err != nil {
+			return fmt.Errorf("start target: %w", err)
+		}
+		s.Targets = append(s.Targets, t)
+	}
+	if err := s.Network.Bootstrap(ctx, s.Targets[0].ID(), 1, Schema); err != nil {
+		return fmt.Errorf("bootstrap group: %w", err)
+	}
+	return nil
+}
+
+func (s *Stage) startPlatform(ctx context.Context) error {
+	var err error
+	s.Platform, err = platformstand.Start(ctx, platformstand.Config{})
+	if err != nil {
+		return fmt.Errorf("start platform: %w", err)
+	}
+	rec := group.Record{ID: GroupID, Term: 1, Primary: s.Targets[0].ID()}
+	for i, t := range s.Targets {
+		rec.Targets = append(rec.Targets, group.Target{
+			ID: t.ID(), Address: t.Address(), DataCentre: dataCentres[i], Slots: 5, Connections: 30,
+		})
+	}
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return fmt.Errorf("encode group: %w", err)
+	}
+	store := s.Store()
+	if _, err := store.Put(ctx, control.GroupKey(GroupID), value, 0); err != nil {
+		return fmt.Errorf("put group: %w", err)
+	}
+	svc, err := service.Parse("precios.ini", []byte(ServiceFile))
+	if err != nil {
+		return fmt.Errorf("parse service: %w", err)
+	}
+	value, err = service.Encode(svc)
+	if err != nil {
+		return fmt.Errorf("encode service: %w", err)
+	}
+	if _, err := store.Put(ctx, "services/precios", value, 0); err != nil {
+		return fmt.Errorf("put service: %w", err)
+	}
+	return nil
+}
+
+func (s *Stage) startDaemons(ctx context.Context, log *zap.Logger) error {
+	key := make([]byte, 32)
+	if _, err := rand.Read(key); err != nil {
+		return fmt.Errorf("draw token key: %w", err)
+	}
+	keys, err := token.NewKeys(key)
+	if err != nil {
+		return fmt.Errorf("make token keys: %w", err)
+	}
+	peers, err := listenAll(daemons, "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	callers, err := listenAll(daemons, s.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	admins, err := listenAll(daemons, "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for _, l := range peers {
+		seeds = append(seeds, l.Addr().String())
+	}
+	for i := range daemons {
+		s.startDaemon(ctx, log, i, &entry.Parts{
+			Tokens: keys, Callers: callers[i], Peers: peers[i], Admin: admins[i],
+		}, seeds)
+	}
+	return nil
+}
+
+func (s *Stage) startDaemon(ctx context.Context, log *zap.Logger, i int, p *entry.Parts, seeds []string) {
+	id := group.DaemonID("entry-" + strconv.Itoa(i+1))
+	events := event.NewLog(string(id), 100_000, s.clk, nil)
+	s.Events = append(s.Events, events)
+	p.Clock = s.clk
+	p.Log = log.With(zap.String("daemon", string(id)))
+	p.Events = events
+	p.Store = s.Store()
+	p.Access.Alter = s.cfg.Alter
+	cfg := entry.Defaults(id, dataCentres[i])
+	cfg.Seeds = seeds
+	cfg.Policy = s.cfg.Policy
+	callers := &cuttable{Listener: p.Callers}
+	p.Callers = callers
+	d := entry.New(&cfg, p)
+	abort, crash := context.WithCancel(context.WithoutCancel(ctx))
+	s.actors = append(s.actors, &actor{
+		daemon: d, address: p.Callers.Addr().String(), admin: p.Admin.Addr().String(), crash: crash, callers: callers,
+	})
+	s.work.Go(func() {
+		defer crash()
+		if err := d.Run(ctx, abort); err != nil && !errors.Is(err, context.Canceled) {
+			p.Log.Error("daemon ended", zap.Error(err))
+		}
+	})
+}
+
+// listenAll opens n listeners on the port of address and the next ones, or on free ports when it is 0.
+func listenAll(n int, address string) ([]net.Listener, error) {
+	host, portText, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("listen address: %w", err)
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return nil, fmt.Errorf("listen port: %w", err)
+	}
+	var out []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(port)))
+		if err != nil {
+			for _, o := range out {
+				_ = o.Close()
+			}
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		out = append(out, l)
+		if port != 0 {
+			port++
+		}
+	}
+	return out, nil
+}
