trial: let half of the sessions only read, and check stated ages

Cause: reads of one's own rows alone say little of the share that browsing callers see, and nothing checked that data is no older than stated. Change: readers that look up any session's quotes; over-age-reads counts answers without a write acknowledged before the read's stated age (or before the read); errors by SQLSTATE and read latency are reported.

--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -15,6 +15,7 @@
 	StaleSessionReads int `json:"stale-session-reads"`
 	RefusedYetRun     int `json:"refused-yet-run"`
 	MixedAnswers      int `json:"mixed-answers"`
+	OverAgeReads      int `json:"over-age-reads"`
 }
 
 // Check compares what sessions were told with the final state.
@@ -32,6 +33,9 @@
 		if r.Fate == Acknowledged && len(r.Missing) > 0 {
 			l.StaleSessionReads++
 		}
+		if r.Fate == Acknowledged && len(r.Overdue) > 0 {
+			l.OverAgeReads++
+		}
 	}
 	return l
 }
--- a/internal/trial/driver.go
+++ b/internal/trial/driver.go
@@ -25,6 +25,8 @@
 type Answer struct {
 	Rows []Answered
 	Fate Fate
+	// Code is the SQLSTATE of the error; empty when there was none.
+	Code string
 }
 
 // Answered is one row of an answer.
@@ -53,7 +55,7 @@
 		r := c.ExecParams(ctx, s.SQL, nil, nil, nil, nil).Read()
 		rows, err = r.Rows, r.Err
 	}
-	a := Answer{Fate: fateOf(err)}
+	a := Answer{Fate: fateOf(err), Code: codeOf(err)}
 	for _, row := range rows {
 		if len(row) >= 4 {
 			a.Rows = append(a.Rows, Answered{ID: string(row[0]), Lot: string(row[1]), Nonce: string(row[3])})
@@ -96,6 +98,18 @@
 	return Failed
 }
 
+// codeOf returns the SQLSTATE of err, "cut" for an error of the connection.
+func codeOf(err error) string {
+	var pe *pgconn.PgError
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &pe):
+		return pe.Code
+	}
+	return "cut"
+}
+
 // connect opens a session's connection to a daemon, with its token when it carries one.
 func connect(ctx context.Context, address, token string) (*pgconn.PgConn, error) {
 	cfg, err := pgconn.ParseConfig("postgres://precios@" + address + "/precios?sslmode=disable")
--- a/internal/trial/history.go
+++ b/internal/trial/history.go
@@ -41,6 +41,7 @@
 	Tag      Tag
 	Kind     WriteKind
 	Fate     Fate
+	Code     string
 	Began    clock.Millis
 	Finished clock.Millis
 }
@@ -48,6 +49,9 @@
 // ReadEntry is one read of a session.
 type ReadEntry struct {
 	Fate Fate
+	Code string
+	// Overdue are writes of any session that the answer should show by the age that the read states.
+	Overdue []Tag
 	// Missing are acknowledged writes of the session that the answer did not show.
 	Missing []Tag
 	// Mixed is true when the answer was that of another request.
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -14,9 +14,10 @@
 	addresses []string
 	driver    *Driver
 	history   *History
+	book      *book
 }
 
-// run keeps n sessions at work until ctx ends; every second one carries a token.
+// run keeps n sessions at work until ctx ends; every second one carries a token, and every second pair only reads.
 func (l *load) run(ctx context.Context, n int, seed uint64) {
 	var wg sync.WaitGroup
 	for i := range n {
@@ -25,6 +26,7 @@
 			load:    l,
 			rnd:     rand.New(rand.NewPCG(seed, uint64(i))),
 			carries: i%2 == 1,
+			reader:  i%4 >= 2,
 		}
 		wg.Go(func() { r.work(ctx) })
 	}
--- a/internal/trial/report.go
+++ b/internal/trial/report.go
@@ -18,14 +18,18 @@
 
 // Report is what a trial found, as --report json prints it.
 type Report struct {
-	Fault            Fault        `json:"fault"`
-	Policy           entry.Policy `json:"policy"`
-	Seed             uint64       `json:"seed"`
-	Seconds          float64      `json:"seconds"`
-	Reads            int          `json:"reads"`
-	ReplicaReads     int          `json:"replica-reads"`
-	ReplicaReadShare float64      `json:"replica-read-share"`
-	WritesAcked      int          `json:"writes-acknowledged"`
+	Fault            Fault          `json:"fault"`
+	Policy           entry.Policy   `json:"policy"`
+	Seed             uint64         `json:"seed"`
+	Seconds          float64        `json:"seconds"`
+	Reads            int            `json:"reads"`
+	ReplicaReads     int            `json:"replica-reads"`
+	ReplicaReadShare float64        `json:"replica-read-share"`
+	WritesAcked      int            `json:"writes-acknowledged"`
+	AgedReplicaShare float64        `json:"aged-replica-share"`
+	ReadMedian       clock.Millis   `json:"read-median-ms"`
+	Read95           clock.Millis   `json:"read-p95-ms"`
+	Errors           map[string]int `json:"errors"`
 	Losses
 	UnknownOutcomes    int           `json:"unknown-outcomes"`
 	Refused            int           `json:"refused"`
@@ -39,6 +43,7 @@
 	Changes            int           `json:"primary-changes"`
 	AgropreciosScore   float64       `json:"score-agroprecios"`
 	CaltanissettaScore float64       `json:"score-caltanissetta"`
+	aged, agedReplica  int64
 }
 
 // primaryFails tells the faults after which a failover gap is measured.
@@ -62,7 +67,11 @@
 
 // tally fills in what the sessions saw.
 func (r *Report) tally(h *History) {
+	r.Errors = make(map[string]int)
 	for i := range h.Writes {
+		if c := h.Writes[i].Code; c != "" {
+			r.Errors["write-"+c]++
+		}
 		switch h.Writes[i].Fate {
 		case Acknowledged:
 			r.WritesAcked++
@@ -75,6 +84,9 @@
 		}
 	}
 	for i := range h.Reads {
+		if c := h.Reads[i].Code; c != "" {
+			r.Errors["read-"+c]++
+		}
 		if h.Reads[i].Fate == Acknowledged {
 			r.Reads++
 		} else {
@@ -86,20 +98,31 @@
 
 // count adds what the daemons counted.
 func (r *Report) count(events []event.Event) {
+	defer r.shares()
 	for i := range events {
 		e := &events[i]
 		switch e.Kind {
 		case event.Counted:
 			r.ReplicaReads += int(e.Counts.ReplicaReads)
+			if e.Request == "bulletin.lookup" {
+				r.aged += e.Counts.Served
+				r.agedReplica += e.Counts.ReplicaReads
+			}
 			r.RequestsAsked += e.Counts.Asked
 			r.RequestsSent += e.Counts.Sent
 		case event.Promoted:
 			r.Changes++
 		}
 	}
+}
+
+func (r *Report) shares() {
 	if r.Reads > 0 {
 		r.ReplicaReadShare = float64(r.ReplicaReads) / float64(r.Reads)
 	}
+	if r.aged > 0 {
+		r.AgedReplicaShare = float64(r.agedReplica) / float64(r.aged)
+	}
 }
 
 // score weighs the figures as the two users do.
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -40,7 +40,7 @@
 
 func (s *Stage) measure(ctx context.Context) (*Report, error) {
 	h := &History{}
-	l := &load{clk: s.clk, addresses: s.Addresses(), driver: NewDriver(), history: h}
+	l := &load{clk: s.clk, addresses: s.Addresses(), driver: NewDriver(), history: h, book: newBook()}
 	if s.cfg.Driver != nil {
 		s.cfg.Driver(l.driver)
 	}
@@ -145,18 +145,28 @@
 	return p.Status().Primary && n > members/2
 }
 
-// latency fills in the time of acknowledged writes.
+// latency fills in the times of acknowledged requests.
 func (r *Report) latency(h *History) {
-	var all []clock.Millis
+	var writes, reads []clock.Millis
 	for i := range h.Writes {
 		if w := &h.Writes[i]; w.Fate == Acknowledged {
-			all = append(all, w.Finished-w.Began)
+			writes = append(writes, w.Finished-w.Began)
 		}
 	}
+	for i := range h.Reads {
+		if e := &h.Reads[i]; e.Fate == Acknowledged {
+			reads = append(reads, e.Took)
+		}
+	}
+	r.WriteMedian, r.Write95 = quantiles(writes)
+	r.ReadMedian, r.Read95 = quantiles(reads)
+}
+
+// quantiles returns the median and the 95th percentile.
+func quantiles(all []clock.Millis) (median, p95 clock.Millis) {
 	if len(all) == 0 {
-		return
+		return 0, 0
 	}
 	slices.Sort(all)
-	r.WriteMedian = all[len(all)/2]
-	r.Write95 = all[len(all)*95/100]
+	return all[len(all)/2], all[len(all)*95/100]
 }
--- a/internal/trial/session.go
+++ b/internal/trial/session.go
@@ -40,11 +40,13 @@
 	load    *load
 	rnd     *rand.Rand
 	carries bool
-	token   string
-	conn    *pgconn.PgConn
-	stay    int
-	quotes  []*quote
-	nonce   int
+	// reader is true for a session that only looks up quotes of others.
+	reader bool
+	token  string
+	conn   *pgconn.PgConn
+	stay   int
+	quotes []*quote
+	nonce  int
 }
 
 // work runs requests until ctx ends.
@@ -93,6 +95,10 @@
 }
 
 func (r *roamer) request(ctx context.Context) {
+	if r.reader {
+		r.browse(ctx)
+		return
+	}
 	last := r.last()
 	switch {
 	case last == nil || !last.created || last.revision >= reviseMost:
@@ -132,30 +138,44 @@
 	e := WriteEntry{Session: r.n, Quote: q.n, Tag: tag, Kind: k, Began: r.load.clk.Now()}
 	a := r.run(ctx, sql)
 	e.Fate = a.Fate
+	e.Code = a.Code
 	e.Finished = r.load.clk.Now()
 	r.load.history.addWrite(&e)
 	if e.Fate == Acknowledged {
 		q.acked = append(q.acked, tag)
+		r.load.book.add(quoteID(r.n, q.n)+"-0", tag, e.Finished)
 	}
 	return e.Fate
 }
 
 // read asks for one of the session's quotes and compares the answer with what was acknowledged.
 func (r *roamer) read(ctx context.Context, q *quote) {
+	r.look(ctx, quoteID(r.n, q.n)+"-0", q.acked)
+}
+
+// browse asks for a quote of any session.
+func (r *roamer) browse(ctx context.Context) {
+	if id, ok := r.load.book.pick(r.rnd); ok {
+		r.look(ctx, id, nil)
+	}
+}
+
+func (r *roamer) look(ctx context.Context, id string, own []Tag) {
 	r.nonce++
 	nonce := "n" + strconv.Itoa(r.n) + "-" + strconv.Itoa(r.nonce)
-	request := "lot.read"
-	aged := r.rnd.IntN(2) == 0
-	if aged {
-		request = "bulletin.lookup"
+	e := ReadEntry{Aged: r.rnd.IntN(2) == 0, Began: r.load.clk.Now()}
+	request, since := "lot.read", e.Began
+	if e.Aged {
+		request, since = "bulletin.lookup", e.Began-statedAge
 	}
-	id := quoteID(r.n, q.n) + "-0"
+	due := r.load.book.before(id, since)
 	sql := fmt.Sprintf(`SELECT id, lot, price, '%s' FROM quotes WHERE id = '%s' /*request='%s'*/`, nonce, id, request)
-	e := ReadEntry{Aged: aged, Began: r.load.clk.Now()}
 	a := r.run(ctx, sql)
 	e.Fate = a.Fate
+	e.Code = a.Code
 	e.Took = r.load.clk.Now() - e.Began
-	e.Missing = missing(q.acked, a.Rows)
+	e.Missing = missing(own, a.Rows)
+	e.Overdue = missing(due, a.Rows)
 	e.Mixed = mixed(a.Rows, id, nonce)
 	r.load.history.addRead(&e)
 }
