--- a/internal/connection/caller/fake_test.go
+++ b/internal/connection/caller/fake_test.go
@@ -186,7 +186,12 @@
 			s.back.Send(&pgproto3.NoData{})
 		}
 	case *pgproto3.Execute:
-		return s.run(s.portals[m.Portal], false)
+		sql, ok := s.portals[m.Portal]
+		if !ok {
+			s.fail("34000", "no such portal")
+			return true
+		}
+		return s.run(sql, false)
 	case *pgproto3.Close:
 		if m.ObjectType == 'S' {
 			delete(s.prepared, m.Name)
@@ -237,6 +242,10 @@
 
 // run executes one statement and reports whether the connection lives on.
 func (s *fakeSession) run(sql string, described bool) bool {
+	if strings.TrimSpace(sql) == "" {
+		s.back.Send(&pgproto3.EmptyQueryResponse{})
+		return true
+	}
 	v := s.f.take(sql)
 	switch v {
 	case cutBefore:
--- /dev/null
+++ b/internal/connection/caller/session_test.go
@@ -0,0 +1,220 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// TestPreparedStatementsFollow runs a prepared statement on targets that have never seen it.
+func TestPreparedStatementsFollow(t *testing.T) {
+	h := newHarness(t)
+	ctx := context.Background()
+	c := h.dial(pgx.QueryExecModeCacheStatement)
+	if _, err := c.Prepare(ctx, "mine", readSQL); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		for _, r := range h.replicas {
+			r.cutAll()
+		}
+		var v string
+		if err := c.QueryRow(ctx, "mine").Scan(&v); err != nil || v != "1" {
+			t.Fatalf("got %q and %v, want 1", v, err)
+		}
+	}
+	if _, err := c.Prepare(ctx, "wrong", "select syntax error"); codeOf(err) != "42601" {
+		t.Errorf("got %v, want 42601", err)
+	}
+	if _, err := c.Prepare(ctx, "wrong", "select 2"); err != nil {
+		t.Errorf("got %v for a name whose first statement failed, want none", err)
+	}
+	if err := c.Deallocate(ctx, "mine"); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.PgConn().ExecPrepared(ctx, "mine", nil, nil, nil).Read(); codeOf(got.Err) != "26000" {
+		t.Errorf("got %v for a closed statement, want 26000", got.Err)
+	}
+}
+
+// raw is a caller that writes messages itself.
+type raw struct {
+	t     *testing.T
+	front *pgproto3.Frontend
+}
+
+func (h *harness) raw(t *testing.T) *raw {
+	t.Helper()
+	c := h.dial(pgx.QueryExecModeExec)
+	hijacked, err := c.PgConn().Hijack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { hijacked.Conn.Close() })
+	return &raw{t: t, front: hijacked.Frontend}
+}
+
+func (r *raw) send(list ...pgproto3.FrontendMessage) {
+	for _, m := range list {
+		r.front.Send(m)
+	}
+	if err := r.front.Flush(); err != nil {
+		r.t.Error(err)
+	}
+}
+
+// read returns the types of n messages, with the codes of errors and the status of ReadyForQuery; tokens are left out.
+func (r *raw) read(n int) string {
+	var list []string
+	for len(list) < n {
+		msg, err := r.front.Receive()
+		if err != nil {
+			return strings.Join(append(list, err.Error()), " ")
+		}
+		if _, ok := msg.(*pgproto3.ParameterStatus); ok {
+			continue
+		}
+		name := strings.TrimPrefix(fmt.Sprintf("%T", msg), "*pgproto3.")
+		switch m := msg.(type) {
+		case *pgproto3.ErrorResponse:
+			name += m.Code
+		case *pgproto3.ReadyForQuery:
+			name += string(m.TxStatus)
+		}
+		list = append(list, name)
+	}
+	return strings.Join(list, " ")
+}
+
+func TestPipelines(t *testing.T) {
+	parse := func(name, sql string) pgproto3.FrontendMessage { return &pgproto3.Parse{Name: name, Query: sql} }
+	bind := func(name string) pgproto3.FrontendMessage { return &pgproto3.Bind{PreparedStatement: name} }
+	describe := func(name string) pgproto3.FrontendMessage { return &pgproto3.Describe{ObjectType: 'S', Name: name} }
+	execute, sync, flush := &pgproto3.Execute{}, &pgproto3.Sync{}, &pgproto3.Flush{}
+	query := func(sql string) pgproto3.FrontendMessage { return &pgproto3.Query{String: sql} }
+	tests := []struct {
+		name string
+		send []pgproto3.FrontendMessage
+		want string
+	}{
+		{"only sync", []pgproto3.FrontendMessage{sync}, "ReadyForQueryI"},
+		{
+			"unnamed statement in a later exchange",
+			[]pgproto3.FrontendMessage{parse("", "select 1"), sync, bind(""), execute, sync},
+			"ParseComplete ReadyForQueryI BindComplete DataRow CommandComplete ReadyForQueryI",
+		},
+		{
+			"the same name twice",
+			[]pgproto3.FrontendMessage{parse("a", "select 1"), sync, parse("a", "select 2"), sync},
+			"ParseComplete ReadyForQueryI ErrorResponse42P05 ReadyForQueryI",
+		},
+		{
+			"the same statement under two names",
+			[]pgproto3.FrontendMessage{parse("a", "select 1"), parse("b", "select 1"), bind("b"), execute, sync},
+			"ParseComplete ParseComplete BindComplete DataRow CommandComplete ReadyForQueryI",
+		},
+		{
+			"error in the middle",
+			[]pgproto3.FrontendMessage{parse("a", "syntax error"), bind("a"), execute, parse("b", "select 1"), sync, parse("b", "select 1"), sync},
+			"ErrorResponse42601 ReadyForQueryI ParseComplete ReadyForQueryI",
+		},
+		{
+			"flush behind describe",
+			[]pgproto3.FrontendMessage{parse("a", "select 1"), describe("a"), flush, bind("a"), execute, sync},
+			"ParseComplete ParameterDescription RowDescription BindComplete DataRow CommandComplete ReadyForQueryI",
+		},
+		{
+			"flush behind an error",
+			[]pgproto3.FrontendMessage{parse("a", "syntax error"), flush, bind("a"), execute, sync, sync},
+			"ErrorResponse42601 ReadyForQueryI ReadyForQueryI",
+		},
+		{
+			"flush behind execute",
+			[]pgproto3.FrontendMessage{parse("", "select 1"), bind(""), execute, flush, sync},
+			"ErrorResponse0A000 ReadyForQueryI",
+		},
+		{
+			"flush behind execute in a transaction",
+			[]pgproto3.FrontendMessage{query("begin"), parse("", "select 1"), bind(""), execute, flush, sync},
+			"CommandComplete ReadyForQueryT ParseComplete BindComplete DataRow CommandComplete ReadyForQueryT",
+		},
+		{
+			"transaction in one pipeline",
+			[]pgproto3.FrontendMessage{
+				parse("", "begin"), bind(""), execute, parse("", "insert a"), bind(""), execute, parse("", "commit"), bind(""), execute, sync,
+			},
+			"ParseComplete BindComplete CommandComplete ParseComplete BindComplete CommandComplete " +
+				"ParseComplete BindComplete CommandComplete ReadyForQueryI",
+		},
+		{
+			"simple queries without waiting",
+			[]pgproto3.FrontendMessage{query("select 1"), query("fails"), query("select 1;select 1")},
+			"RowDescription DataRow CommandComplete ReadyForQueryI ErrorResponse23505 ReadyForQueryI " +
+				"RowDescription DataRow CommandComplete RowDescription DataRow CommandComplete ReadyForQueryI",
+		},
+		{
+			"what is not relayed",
+			[]pgproto3.FrontendMessage{query("copy t from stdin"), query("listen x"), &pgproto3.FunctionCall{}, query("set a = 1; select 1")},
+			"ErrorResponse0A000 ReadyForQueryI ErrorResponse0A000 ReadyForQueryI ErrorResponse0A000 ReadyForQueryI ErrorResponse0A000 ReadyForQueryI",
+		},
+		{
+			"refusal in a transaction",
+			[]pgproto3.FrontendMessage{query("begin"), query("insert a"), query("listen x"), query("insert b"), query("commit"), query("insert c")},
+			"CommandComplete ReadyForQueryT CommandComplete ReadyForQueryT ErrorResponse0A000 ReadyForQueryE ErrorResponse25P02 ReadyForQueryE " +
+				"CommandComplete ReadyForQueryI CommandComplete ReadyForQueryI",
+		},
+		{
+			"unknown message",
+			[]pgproto3.FrontendMessage{&pgproto3.PasswordMessage{Password: "x"}},
+			"ErrorResponse08P01 unexpected EOF",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t)
+			r := h.raw(t)
+			r.send(tt.send...)
+			if got := r.read(len(strings.Fields(tt.want))); got != tt.want {
+				t.Errorf("got  %s\nwant %s", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestSettingsAreSetAgain(t *testing.T) {
+	h := newHarness(t)
+	ctx := context.Background()
+	c := h.dial(pgx.QueryExecModeExec)
+	other := h.dial(pgx.QueryExecModeExec)
+	steps := []struct {
+		conn *pgx.Conn
+		sql  string
+		// want are the statements that the replica runs for it.
+		want string
+	}{
+		{c, "set search_path = a", ""},
+		{c, readSQL, "RESET ALL|set search_path = a|" + readSQL},
+		{c, readSQL, readSQL},
+		{other, readSQL, "RESET ALL|" + readSQL},
+		{c, "begin", ""},
+		{c, "set search_path = b", ""},
+		{c, "rollback", ""},
+		{c, readSQL, "RESET ALL|set search_path = a|" + readSQL},
+		{c, "reset search_path", ""},
+		{c, readSQL, "RESET ALL|" + readSQL},
+	}
+	for i, s := range steps {
+		before := len(h.replicas[0].statements())
+		if _, err := s.conn.Exec(ctx, s.sql); err != nil {
+			t.Fatalf("got %v at step %d, want none", err, i)
+		}
+		got := strings.Join(h.replicas[0].statements()[before:], "|")
+		if got != s.want {
+			t.Errorf("got %q at step %d, want %q", got, i, s.want)
+		}
+	}
+}
