peer: draw up hashes and bridges only after a change, and check convergence

Cause: each heartbeat hashed and sorted all members; a data centre that went away whole was kept for ever. Change: a census cached until a member changes; members of a data centre silent for the remembered time are forgotten; fault tables and a property over lost messages, stops, graceful stops and restarts.

--- /dev/null
+++ b/internal/process/peer/census.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"slices"
+
+	"github.com/cactusfork/cactusfork/internal/version/group"
+)
+
+// census is what follows from the members' states; it is drawn up anew after a change of one.
+type census struct {
+	hash    uint64
+	live    map[group.DataCentre][]group.DaemonID
+	bridges map[group.DataCentre][]group.DaemonID
+	// centres are the other data centres with live members, sorted.
+	centres []group.DataCentre
+}
+
+// touch is called after each change of a member's state or incarnation.
+func (t *Table) touch() { t.cached = nil }
+
+func (t *Table) census() *census {
+	if t.cached == nil {
+		t.cached = t.count()
+	}
+	return t.cached
+}
+
+func (t *Table) count() *census {
+	c := &census{
+		live:    map[group.DataCentre][]group.DaemonID{},
+		bridges: map[group.DataCentre][]group.DaemonID{},
+	}
+	for _, e := range t.entries {
+		c.add(e)
+	}
+	for dc, ids := range c.live {
+		slices.Sort(ids)
+		if dc != t.self.DataCentre {
+			c.centres = append(c.centres, dc)
+			c.bridges[dc] = Rendezvous(string(dc), ids, t.set.Bridges)
+		}
+	}
+	slices.Sort(c.centres)
+	here := append(slices.Clone(c.live[t.self.DataCentre]), t.self.ID)
+	c.bridges[t.self.DataCentre] = Rendezvous(string(t.self.DataCentre), here, t.set.Bridges)
+	if t.self.live() {
+		c.hash ^= hashEntry(&t.self)
+	}
+	return c
+}
+
+func (c *census) add(e *Entry) {
+	if !e.live() {
+		return
+	}
+	c.live[e.DataCentre] = append(c.live[e.DataCentre], e.ID)
+	c.hash ^= hashEntry(e)
+}
--- a/internal/process/peer/handler.go
+++ b/internal/process/peer/handler.go
@@ -25,12 +25,12 @@
 
 // Exchange takes in a heartbeat and answers with this daemon's.
 func (a *answerer) Exchange(ctx context.Context, req *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
-	beat := req.Msg.GetHeartbeat()
-	if !sane(beat.GetSelf()) {
+	got := req.Msg.GetHeartbeat()
+	if !sane(got.GetSelf()) {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errNoSender)
 	}
-	reply := make(chan beats, 1)
-	if err := a.m.send(ctx, heard{beat: beat, all: req.Msg.GetAll(), reply: reply}); err != nil {
+	reply := make(chan beat, 1)
+	if err := a.m.send(ctx, heard{beat: got, all: req.Msg.GetAll(), reply: reply}); err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
 	b := <-reply
@@ -39,7 +39,7 @@
 
 // Probe exchanges heartbeats with a third daemon on behalf of the asker.
 func (a *answerer) Probe(ctx context.Context, req *connect.Request[peerv1.ProbeRequest]) (*connect.Response[peerv1.ProbeResponse], error) {
-	reply := make(chan beats, 1)
+	reply := make(chan beat, 1)
 	id := group.DaemonID(req.Msg.GetId())
 	if err := a.m.send(ctx, compose{to: id, reply: reply}); err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
--- a/internal/process/peer/merge.go
+++ b/internal/process/peer/merge.go
@@ -43,6 +43,7 @@
 	}
 	wasLive := held.live()
 	*held = *said
+	t.touch()
 	t.tell(said.ID)
 	t.replace(now, said)
 	return wasLive || held.live()
@@ -54,6 +55,8 @@
 	}
 	e := *said
 	t.entries[e.ID] = &e
+	t.pulse(now, e.DataCentre)
+	t.touch()
 	t.tell(e.ID)
 	t.replace(now, &e)
 	return e.live()
@@ -78,6 +81,7 @@
 
 func (t *Table) enter(now clock.Millis, e *Entry, s State) {
 	e.State = s
+	t.touch()
 	e.Since = now
 	t.tell(e.ID)
 }
@@ -94,6 +98,7 @@
 		return
 	}
 	t.self.Incarnation = said.Incarnation + 1
+	t.touch()
 	t.tell(t.self.ID)
 }
 
--- a/internal/process/peer/mesh.go
+++ b/internal/process/peer/mesh.go
@@ -144,7 +144,7 @@
 
 // Leave announces a graceful stop to peers; the mesh goes on answering until the context of Run ends.
 func (m *Mesh) Leave(ctx context.Context) error {
-	reply := make(chan beats, 1)
+	reply := make(chan beat, 1)
 	if err := m.send(ctx, leave{reply: reply}); err != nil {
 		return err
 	}
--- a/internal/process/peer/message.go
+++ b/internal/process/peer/message.go
@@ -17,7 +17,7 @@
 type heard struct {
 	beat  *peerv1.Heartbeat
 	all   bool
-	reply chan<- beats
+	reply chan<- beat
 }
 
 func (h heard) take(ctx context.Context, m *Mesh) {
@@ -59,7 +59,7 @@
 // compose asks for a heartbeat to a third daemon, on behalf of another.
 type compose struct {
 	to    group.DaemonID
-	reply chan<- beats
+	reply chan<- beat
 }
 
 func (c compose) take(_ context.Context, m *Mesh) {
@@ -86,7 +86,7 @@
 }
 
 // leave makes this daemon leave and asks for the heartbeat that says so.
-type leave struct{ reply chan<- beats }
+type leave struct{ reply chan<- beat }
 
 func (l leave) take(_ context.Context, m *Mesh) {
 	m.table.Leave(m.clk.Now())
--- a/internal/process/peer/probe.go
+++ b/internal/process/peer/probe.go
@@ -73,11 +73,11 @@
 	if t.self.State == Left {
 		return nil, changed
 	}
-	here := t.liveIn(t.self.DataCentre)
+	here := t.census().live[t.self.DataCentre]
 	for _, id := range t.set.Choose(t.self.ID, here, t.set.Fanout) {
 		probes = append(probes, t.probe(Neighbour, id))
 	}
-	if slices.Contains(t.bridges(t.self.DataCentre), t.self.ID) {
+	if slices.Contains(t.census().bridges[t.self.DataCentre], t.self.ID) {
 		t.beat(now)
 		probes = append(probes, t.probeBridges()...)
 	}
@@ -99,66 +99,49 @@
 			t.enter(now, e, Dead)
 			changed = true
 		case !e.live() && age >= t.periods(t.set.RememberFor):
-			delete(t.entries, id)
-			delete(t.rumours, id)
+			t.forget(id)
+		case e.live() && t.silent(now, e.DataCentre) >= t.periods(t.set.RememberFor):
+			t.forget(id)
+			changed = true
 		}
 	}
 	return changed
 }
 
-// liveIn returns the ids of the other live members of a data centre, sorted.
-func (t *Table) liveIn(dc group.DataCentre) []group.DaemonID {
+// Rendezvous returns the n ids that rank highest for key; a change of the ids moves no more of them than it must.
+func Rendezvous(key string, ids []group.DaemonID, n int) []group.DaemonID {
+	ranks := make([]rank, 0, len(ids))
+	for _, id := range ids {
+		ranks = append(ranks, rank{id: id, weight: xxhash.Sum64String(key + "/" + string(id))})
+	}
+	slices.SortFunc(ranks, func(a, b rank) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
+	})
 	var out []group.DaemonID
-	for id, e := range t.entries {
-		if e.live() && e.DataCentre == dc {
-			out = append(out, id)
-		}
+	for _, r := range ranks[:min(n, len(ranks))] {
+		out = append(out, r.id)
 	}
-	slices.Sort(out)
 	return out
 }
 
-// bridges returns the daemons of a data centre that keep it in touch with the others.
-func (t *Table) bridges(dc group.DataCentre) []group.DaemonID {
-	ids := t.liveIn(dc)
-	if dc == t.self.DataCentre {
-		ids = append(ids, t.self.ID)
-	}
-	return Rendezvous(string(dc), ids, t.set.Bridges)
+type rank struct {
+	id     group.DaemonID
+	weight uint64
 }
 
-// Rendezvous returns the n ids that rank highest for key; a change of the ids moves no more of them than it must.
-func Rendezvous(key string, ids []group.DaemonID, n int) []group.DaemonID {
-	out := slices.Clone(ids)
-	slices.SortFunc(out, func(a, b group.DaemonID) int {
-		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a, b))
-	})
-	return out[:min(n, len(out))]
-}
-
-func weight(key string, id group.DaemonID) uint64 {
-	return xxhash.Sum64String(key + "/" + string(id))
+func (t *Table) forget(id group.DaemonID) {
+	delete(t.entries, id)
+	delete(t.rumours, id)
+	t.touch()
 }
 
 // probeBridges picks one bridge of each other data centre, a different one each period.
 func (t *Table) probeBridges() []Probe {
 	var out []Probe
-	for _, dc := range t.otherCentres() {
-		if ids := t.bridges(dc); len(ids) > 0 {
-			out = append(out, t.probe(Bridge, ids[t.ticks%uint64(len(ids))]))
-		}
-	}
-	return out
-}
-
-func (t *Table) otherCentres() []group.DataCentre {
-	var out []group.DataCentre
-	for _, e := range t.entries {
-		if e.live() && e.DataCentre != t.self.DataCentre && !slices.Contains(out, e.DataCentre) {
-			out = append(out, e.DataCentre)
-		}
+	for _, dc := range t.census().centres {
+		ids := t.census().bridges[dc]
+		out = append(out, t.probe(Bridge, ids[t.ticks%uint64(len(ids))]))
 	}
-	slices.Sort(out)
 	return out
 }
 
@@ -186,7 +169,7 @@
 	if !ok || !e.live() {
 		return nil
 	}
-	here := t.liveIn(t.self.DataCentre)
+	here := slices.Clone(t.census().live[t.self.DataCentre])
 	here = slices.DeleteFunc(here, func(h group.DaemonID) bool { return h == id || t.entries[h].State != Alive })
 	t.set.Random.Shuffle(len(here), func(i, j int) { here[i], here[j] = here[j], here[i] })
 	var out []Member
--- a/internal/process/peer/pulse.go
+++ b/internal/process/peer/pulse.go
@@ -47,6 +47,14 @@
 
 // lost reports whether nothing was heard of another data centre for long.
 func (t *Table) lost(now clock.Millis, dc group.DataCentre) bool {
+	return t.silent(now, dc) >= t.periods(t.set.LostAfter)
+}
+
+// silent is how long nothing was heard of another data centre.
+func (t *Table) silent(now clock.Millis, dc group.DataCentre) clock.Millis {
 	p, ok := t.pulses[dc]
-	return ok && dc != t.self.DataCentre && now-p.heard >= t.periods(t.set.LostAfter)
+	if !ok || dc == t.self.DataCentre {
+		return 0
+	}
+	return now - p.heard
 }
--- a/internal/process/peer/run.go
+++ b/internal/process/peer/run.go
@@ -7,7 +7,6 @@
 
 	"github.com/cactusfork/cactusfork/internal/process/peer/peerv1"
 	"github.com/cactusfork/cactusfork/internal/version/group"
-	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
 const (
@@ -21,25 +20,21 @@
 	maxFruitless = 1024
 )
 
-// beats is a heartbeat as it is sent, detached from the table.
-type beats struct {
-	now     clock.Millis
-	self    Entry
-	members []Entry
-	pulses  []Pulse
-	live    uint64
+// beat is a heartbeat as it is sent, detached from the table.
+type beat struct {
+	Beat
 	objects uint64
 	// address is where a third daemon is reached, for a probe on another's behalf.
 	address string
 }
 
-func (b beats) out() *peerv1.Heartbeat {
+func (b beat) out() *peerv1.Heartbeat {
 	return &peerv1.Heartbeat{
-		Self:        memberOut(b.now, &b.self),
-		MembersHash: b.live,
+		Self:        memberOut(b.Now, &b.Self),
+		MembersHash: b.Hash,
 		ObjectsHash: b.objects,
-		Members:     membersOut(b.now, b.members),
-		Pulses:      pulsesOut(b.pulses),
+		Members:     membersOut(b.Now, b.Members),
+		Pulses:      pulsesOut(b.Pulses),
 	}
 }
 
@@ -91,7 +86,7 @@
 	m.work.Go(func() { m.exchange(ctx, p, b, all) })
 }
 
-func (m *Mesh) exchange(ctx context.Context, p Probe, b beats, all bool) {
+func (m *Mesh) exchange(ctx context.Context, p Probe, b beat, all bool) {
 	got, err := m.call.exchange(ctx, p.Address, b.out(), all)
 	if err == nil && sane(got.GetSelf()) {
 		_ = m.send(ctx, answered{probe: p, beat: got})
@@ -113,37 +108,21 @@
 	_ = m.send(ctx, seeds{addresses: addresses})
 }
 
-// compose returns the heartbeat for a peer; what is held against the peer is always part of it.
-func (m *Mesh) compose(to group.DaemonID, all bool) beats {
-	now := m.clk.Now()
-	b := beats{
-		now:     now,
-		self:    m.table.Self(),
-		pulses:  m.table.Pulses(),
-		live:    m.table.Hash(),
+// compose returns the heartbeat for a peer.
+func (m *Mesh) compose(to group.DaemonID, all bool) beat {
+	return beat{
+		Beat:    m.table.Beat(m.clk.Now(), to, all),
 		objects: m.seams.Digest().Hash,
 	}
-	if all {
-		b.members = m.table.All(now)
-		return b
-	}
-	b.members = m.table.Rumours(now)
-	if e, ok := m.table.Entry(to); ok && e.State != Alive {
-		b.members = append(b.members, e)
-	}
-	return b
 }
 
 // takeIn merges a heartbeat into the table.
-func (m *Mesh) takeIn(ctx context.Context, beat *peerv1.Heartbeat) {
+func (m *Mesh) takeIn(ctx context.Context, h *peerv1.Heartbeat) {
 	now := m.clk.Now()
-	m.table.MergePulses(now, pulsesIn(beat.GetPulses()))
-	said := append(membersIn(now, beat.GetMembers()), membersIn(now, []*peerv1.Member{beat.GetSelf()})...)
-	if m.table.Merge(now, said) {
+	if b, ok := beatIn(now, h); ok && m.table.Hear(now, b) {
 		m.publish(true)
 	}
-	m.table.Compared(beat.GetMembersHash())
-	m.pull(ctx, beat)
+	m.pull(ctx, h)
 }
 
 // publish replaces the snapshot when members changed or a data centre was lost or found.
--- a/internal/process/peer/table.go
+++ b/internal/process/peer/table.go
@@ -62,6 +62,7 @@
 	rumours map[group.DaemonID]int
 	pulses  map[group.DataCentre]*pulse
 	ticks   uint64
+	cached  *census
 	// mismatches counts the exchanges in a row that ended in different member hashes.
 	mismatches int
 }
@@ -92,6 +93,7 @@
 func (t *Table) Leave(now clock.Millis) {
 	t.self.State = Left
 	t.self.Since = now
+	t.touch()
 }
 
 // SetDemand replaces this daemon's demand and spreads it.
@@ -148,18 +150,7 @@
 }
 
 // Hash sums up the members held to be live, this daemon included.
-func (t *Table) Hash() uint64 {
-	var sum uint64
-	if t.self.live() {
-		sum = hashEntry(&t.self)
-	}
-	for _, e := range t.entries {
-		if e.live() {
-			sum ^= hashEntry(e)
-		}
-	}
-	return sum
-}
+func (t *Table) Hash() uint64 { return t.census().hash }
 
 func hashEntry(e *Entry) uint64 {
 	var buf [64]byte
--- /dev/null
+++ b/internal/process/peer/table_test.go
@@ -0,0 +1,242 @@
+package peer
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+func testTable() *Table {
+	self := Member{ID: "d0", Address: "10.0.0.1:1", DataCentre: "dc-0", Incarnation: 5}
+	return NewTable(self, Defaults(testPeriod))
+}
+
+func entry(id group.DaemonID, in Incarnation, s State) Entry {
+	m := Member{ID: id, Address: "at-" + string(id), DataCentre: "dc-0", Incarnation: in}
+	return Entry{Member: m, State: s}
+}
+
+func TestTableMerge(t *testing.T) {
+	tests := []struct {
+		name  string
+		said  []Entry
+		in    Incarnation
+		state State
+	}{
+		{"doubled heartbeat", []Entry{entry("d1", 1, Alive), entry("d1", 1, Alive)}, 1, Alive},
+		{"suspicion", []Entry{entry("d1", 1, Alive), entry("d1", 1, Suspect)}, 1, Suspect},
+		{"old heartbeat after suspicion", []Entry{entry("d1", 1, Suspect), entry("d1", 1, Alive)}, 1, Suspect},
+		{"denial", []Entry{entry("d1", 1, Suspect), entry("d1", 2, Alive)}, 2, Alive},
+		{"suspicion after denial", []Entry{entry("d1", 2, Alive), entry("d1", 1, Suspect)}, 2, Alive},
+		{"old heartbeat after death", []Entry{entry("d1", 1, Alive), entry("d1", 1, Dead), entry("d1", 1, Alive)}, 1, Dead},
+		{"old heartbeat after leaving", []Entry{entry("d1", 1, Left), entry("d1", 1, Alive)}, 1, Left},
+		{"left overrides dead", []Entry{entry("d1", 1, Dead), entry("d1", 1, Left)}, 1, Left},
+		{"restart after leaving", []Entry{entry("d1", 1, Left), entry("d1", 2, Alive)}, 2, Alive},
+		{"old incarnation", []Entry{entry("d1", 3, Alive), entry("d1", 2, Dead)}, 3, Alive},
+		{"state out of range", []Entry{entry("d1", 3, Alive), entry("d1", 4, 9)}, 3, Alive},
+	}
+	for _, tt := range tests {
+		table := testTable()
+		table.Merge(0, tt.said)
+		got, _ := table.Entry("d1")
+		if got.Incarnation != tt.in || got.State != tt.state {
+			t.Errorf("%s: got incarnation %d state %d, want %d %d", tt.name, got.Incarnation, got.State, tt.in, tt.state)
+		}
+	}
+}
+
+func TestTableDenies(t *testing.T) {
+	tests := []struct {
+		name string
+		said Entry
+		left bool
+		want Incarnation
+	}{
+		{"suspicion of this life", entry("d0", 5, Suspect), false, 6},
+		{"death of this life", entry("d0", 5, Dead), false, 6},
+		{"earlier life was higher", entry("d0", 9, Alive), false, 10},
+		{"earlier life", entry("d0", 4, Dead), false, 5},
+		{"own heartbeat", entry("d0", 5, Alive), false, 5},
+		{"suspicion while leaving", entry("d0", 5, Suspect), true, 5},
+	}
+	for _, tt := range tests {
+		table := testTable()
+		if tt.left {
+			table.Leave(0)
+		}
+		table.Merge(0, []Entry{tt.said})
+		if got := table.Self().Incarnation; got != tt.want {
+			t.Errorf("%s: got incarnation %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestTableReplacesOlderMemberAtSameAddress(t *testing.T) {
+	table := testTable()
+	older, newer := entry("old", 1, Alive), entry("new", 2, Alive)
+	newer.Address = older.Address
+	table.Merge(0, []Entry{newer, older})
+	table.Merge(0, []Entry{newer})
+	table.Merge(0, []Entry{older, entry("d2", 1, Alive)})
+	newer.Incarnation = 3
+	table.Merge(0, []Entry{newer})
+	got, _ := table.Entry("old")
+	if got.State != Dead {
+		t.Errorf("got state %d, want %d", got.State, Dead)
+	}
+}
+
+func TestTableSuspicionEndsInDeathAndForgetting(t *testing.T) {
+	table := testTable()
+	table.Merge(0, []Entry{entry("d1", 1, Alive)})
+	table.Unconfirmed(0, "d1", 0)
+	steps := []struct {
+		at    clock.Millis
+		state State
+	}{
+		{0, Alive},
+		{testPeriod, Suspect},
+		{testPeriod + table.periods(table.set.SuspectFor) - 1, Suspect},
+		{testPeriod + table.periods(table.set.SuspectFor), Dead},
+		{testPeriod + table.periods(table.set.SuspectFor+table.set.RememberFor), 0},
+	}
+	for i, s := range steps {
+		if i == 1 {
+			table.Unconfirmed(s.at, "d1", 1)
+		}
+		table.Tick(s.at)
+		got, _ := table.Entry("d1")
+		if got.State != s.state {
+			t.Fatalf("at %d: got state %d, want %d", s.at, got.State, s.state)
+		}
+	}
+}
+
+func TestTableTakesNoNearlyForgottenDeath(t *testing.T) {
+	table := testTable()
+	now := table.periods(table.set.RememberFor)
+	table.Merge(now, []Entry{entry("d1", 1, Dead)})
+	if _, ok := table.Entry("d1"); ok {
+		t.Error("got an entry, want none")
+	}
+}
+
+func TestLostDataCentreIsFoundAgain(t *testing.T) {
+	f := newFleet(12, 3, 1, func(*Settings) {})
+	away := func(id group.DaemonID) bool { return f.tables[id].self.DataCentre == "dc-2" }
+	lost := func(want int) func(*Table) bool {
+		return func(t *Table) bool {
+			n := 0
+			for _, m := range t.Live(f.now) {
+				if m.Lost {
+					n++
+				}
+			}
+			live := len(t.Live(f.now)) == 11
+			return live && (n == want || away(t.self.ID) && n == 2*want)
+		}
+	}
+	f.until(5, func(*Table) bool { return false })
+	f.lost = func(from, to group.DaemonID) bool { return away(from) != away(to) }
+	if n := f.until(100, lost(4)); n == 100 {
+		t.Error("the cut was not noticed, or members were held dead")
+	}
+	f.lost = func(_, _ group.DaemonID) bool { return false }
+	if n := f.until(100, lost(0)); n == 100 {
+		t.Error("the data centre was not found again")
+	}
+}
+
+func TestWorkGrowsWithTheDataCentreOnly(t *testing.T) {
+	for _, centres := range []int{1, 2, 4} {
+		f := newFleet(12*centres, centres, 1, func(*Settings) {})
+		f.until(20, func(*Table) bool { return false })
+		pairs := 2 * centres * (centres - 1)
+		want := 20 * 2 * (12*centres + pairs)
+		if f.messages != want {
+			t.Errorf("%d centres: got %d messages, want %d", centres, f.messages, want)
+		}
+	}
+}
+
+// TestViewsConverge loses messages at random while members stop, leave and restart, and then loses none.
+func TestViewsConverge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 9).Draw(rt, "members")
+		f := newFleet(n, rapid.IntRange(1, 2).Draw(rt, "centres"), rapid.Uint64().Draw(rt, "seed"), func(*Settings) {})
+		losses := rapid.IntRange(0, 90).Draw(rt, "losses in a hundred")
+		f.lost = func(_, _ group.DaemonID) bool { return f.random.IntN(100) < losses }
+		ended := map[group.DaemonID]Incarnation{}
+		for range rapid.IntRange(1, 30).Draw(rt, "periods") {
+			disturb(rt, f, ended)
+			f.period()
+			revived(rt, f, ended)
+		}
+		f.lost = func(_, _ group.DaemonID) bool { return false }
+		took := f.until(400, func(t *Table) bool { return t.Self().State == Left || sameView(f, t) })
+		revived(rt, f, ended)
+		if took == 400 {
+			rt.Fatalf("views differ")
+		}
+	})
+}
+
+// disturb ends or starts a member now and then.
+func disturb(rt *rapid.T, f *fleet, ended map[group.DaemonID]Incarnation) {
+	id := rapid.SampledFrom(f.ids).Draw(rt, "member")
+	t, runs := f.tables[id]
+	switch rapid.IntRange(0, 9).Draw(rt, "disturbance") {
+	case 0:
+		if runs && len(f.tables) > 2 {
+			f.stop(id)
+		}
+	case 1:
+		if runs && len(f.tables) > 2 {
+			ended[id] = t.Self().Incarnation
+			t.Leave(f.now)
+		}
+	case 2:
+		f.restart(id)
+	}
+}
+
+// revived fails when a table holds an incarnation live again that it has held dead or left before.
+func revived(rt *rapid.T, f *fleet, ended map[group.DaemonID]Incarnation) {
+	for by, t := range f.tables {
+		for id, e := range t.entries {
+			seen := seenEnded{by: by, id: id, in: e.Incarnation}
+			if !e.live() {
+				f.seen[seen] = true
+			}
+			if e.live() && f.seen[seen] {
+				rt.Fatalf("%s revived %s at incarnation %d", by, id, e.Incarnation)
+			}
+		}
+	}
+	for id, in := range ended {
+		if t, ok := f.tables[id]; ok && t.Self().State == Left && t.Self().Incarnation != in {
+			rt.Fatalf("%s raised its incarnation after leaving", id)
+		}
+	}
+}
+
+// sameView reports whether t holds live, in data centres not lost, just those members that run.
+func sameView(f *fleet, t *Table) bool {
+	var want []group.DaemonID
+	for _, id := range f.ids {
+		if o, ok := f.tables[id]; ok && o.Self().State != Left && id != t.self.ID {
+			want = append(want, id)
+		}
+	}
+	var got []group.DaemonID
+	for _, m := range t.Live(f.now) {
+		if !m.Lost {
+			got = append(got, m.ID)
+		}
+	}
+	return slices.Equal(got, want)
+}
--- a/internal/process/peer/wire.go
+++ b/internal/process/peer/wire.go
@@ -99,6 +99,18 @@
 	return out
 }
 
+// beatIn returns the heartbeat that a peer sent, its entries counted by the own clock; false when its sender cannot be true.
+func beatIn(now clock.Millis, h *peerv1.Heartbeat) (Beat, bool) {
+	self, ok := memberIn(now, h.GetSelf())
+	return Beat{
+		Now:     now,
+		Self:    self,
+		Members: membersIn(now, h.GetMembers()),
+		Pulses:  pulsesIn(h.GetPulses()),
+		Hash:    h.GetMembersHash(),
+	}, ok
+}
+
 func pulsesOut(ps []Pulse) []*peerv1.Pulse {
 	var out []*peerv1.Pulse
 	for _, p := range ps {
