admission: keep a class's turn while its items displace each other

Change: counts are forgotten after an operation, not within it; more rows for route and limit, each of which a mutation had survived. Conclusion: the bound on passing holds through displacement.

--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -58,6 +58,7 @@
 
 // Push adds i and returns the items that are refused for it, which may be i itself or have expired.
 func (q *Queue) Push(now clock.Millis, i Item) []Item {
+	defer q.settle()
 	if i.expired(now) {
 		return []Item{i}
 	}
@@ -65,7 +66,7 @@
 		q.add(i)
 		return nil
 	}
-	if gone := q.Expire(now); len(gone) > 0 {
+	if gone := q.expire(now); len(gone) > 0 {
 		return append(gone, q.Push(now, i)...)
 	}
 	c, kind := q.lowest(i.Kind)
@@ -107,7 +108,8 @@
 
 // Pop returns the item to run now and the items found expired, which do not run; it reports false when none is left.
 func (q *Queue) Pop(now clock.Millis) (next Item, expired []Item, ok bool) {
-	expired = q.Expire(now)
+	defer q.settle()
+	expired = q.expire(now)
 	c := q.turn()
 	if c == nil {
 		return Item{}, expired, false
@@ -145,6 +147,11 @@
 
 // Expire removes and returns the items whose deadline has passed.
 func (q *Queue) Expire(now clock.Millis) []Item {
+	defer q.settle()
+	return q.expire(now)
+}
+
+func (q *Queue) expire(now clock.Millis) []Item {
 	var gone []Item
 	for _, c := range q.classes {
 		for _, kind := range []Kind{Read, Write} {
@@ -159,6 +166,7 @@
 
 // Remove takes out the item named id, and reports whether it still waited.
 func (q *Queue) Remove(id ID) bool {
+	defer q.settle()
 	for _, c := range q.classes {
 		for _, kind := range []Kind{Read, Write} {
 			at := slices.IndexFunc(*c.line(kind), func(e entry) bool { return e.ID == id })
@@ -174,12 +182,19 @@
 func (q *Queue) take(c *class, kind Kind, at int) Item {
 	i := c.line(kind).take(at)
 	q.count(kind, -1)
-	if c.empty() {
-		c.passed = 0
-	}
 	return i
 }
 
+// settle forgets the turns of the classes in which nothing waits any more.
+// It runs last, so that a class whose only item gives way to another one of it keeps its turn.
+func (q *Queue) settle() {
+	for _, c := range q.classes {
+		if c.empty() {
+			c.passed = 0
+		}
+	}
+}
+
 func (q *Queue) add(i Item) {
 	q.seq++
 	heap.Push(q.class(i.Weight).line(i.Kind), entry{i, q.seq})
--- a/internal/request/limit/limit_test.go
+++ b/internal/request/limit/limit_test.go
@@ -37,6 +37,17 @@
 	}
 }
 
+func TestOddSlotsSpreadOverDaemons(t *testing.T) {
+	lucky := map[int]bool{}
+	for n := range 20 {
+		got := shares(Pool{group.TargetID(fmt.Sprint("t", n)), 10, 0}, demands([]int{1, 1, 1}), Pool.Share)
+		lucky[slices.Index(got, 4)] = true
+	}
+	if got, want := len(lucky), 3; got != want {
+		t.Errorf("got odd slots at %d daemons, want %d", got, want)
+	}
+}
+
 type shareFunc func(Pool, group.DaemonID, []Demand) int
 
 func demands(wants []int) []Demand {
--- a/internal/request/route/choose.go
+++ b/internal/request/route/choose.go
@@ -44,6 +44,7 @@
 		return false
 	}
 	r := newReader(v, n.DataCentre, position.Max(n.Floor, proof))
+	r.replicas = n.ReplicaOnly
 	for i := range v.Targets {
 		if v.Targets[i].ID == id {
 			return r.class(i) != unfit
@@ -102,6 +103,8 @@
 	floor   position.Point
 	leader  leader
 	promise position.Term
+	// replicas leaves the primary out.
+	replicas bool
 }
 
 func newReader(v *View, centre group.DataCentre, floor position.Point) reader {
--- a/internal/request/route/choose_test.go
+++ b/internal/request/route/choose_test.go
@@ -69,6 +69,10 @@
 			b.Status = later("d")
 			b.Status.Primary = true
 		}, toA},
+		{"a later primary followed by an earlier order", func(_, b, c *TargetView, _ *View, _ *Need) {
+			b.Status = later("d")
+			b.Status.Primary, c.Status.Following = true, "b"
+		}, toA},
 		{"an old primary that took the fence", func(a, b, c *TargetView, _ *View, _ *Need) {
 			a.Status.Promise, b.Status, c.Status = 3, later("d"), later("d")
 		}, Choice{"", Wait, ReasonFenced}},
@@ -91,9 +95,13 @@
 		{"here", func(_, _, _ *TargetView, _ *View, _ *Need) {}, onB},
 		{"b full", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Busy = 4 }, onC},
 		{"idle primary", func(a, b, _ *TargetView, _ *View, _ *Need) { a.Writes, b.Busy = 0, 1 }, Choice{"a", Primary, ReasonFresh}},
+		{"busier primary", func(a, _, _ *TargetView, _ *View, _ *Need) { a.Writes, a.Busy = 0, 1 }, onB},
 		{"lagging", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Status.Applied = point(2, 99) }, onC},
 		{"older term", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Status.Applied = point(1, 900) }, onC},
 		{"another's follower", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Status.Following = "z" }, onC},
+		{"following by an earlier order", func(a, _, c *TargetView, v *View, _ *Need) {
+			a.Status.Received, c.Status.Promise, v.Record.Term = point(4, 101), 4, 4
+		}, onC},
 		{"cut off", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Status.Following = "" }, onC},
 		{"leaving", func(_, b, _ *TargetView, _ *View, _ *Need) { b.Leaving = true }, onC},
 		{"busy primary", func(_, b, c *TargetView, _ *View, _ *Need) { b.Down, c.Down = true, true }, onBusy},
@@ -112,6 +120,10 @@
 		{"changing, on one fenced", func(a, b, _ *TargetView, v *View, _ *Need) {
 			v.Changing, a.Down, b.Status.Promise, b.Status.Following = true, true, 3, ""
 		}, onB},
+		{"changing, not on one fenced earlier", func(a, b, c *TargetView, v *View, _ *Need) {
+			v.Changing, a.Down, b.Status.Promise, b.Status.Following = true, true, 3, ""
+			c.Status.Promise, c.Status.Following = 4, ""
+		}, onC},
 		{"changing, not on one left unfenced", func(a, b, _ *TargetView, v *View, _ *Need) {
 			v.Changing, a.Down, b.Status.Promise, b.Status.Following = true, true, 3, ""
 			b.Status.Applied = point(2, 99)
--- a/internal/request/route/view.go
+++ b/internal/request/route/view.go
@@ -50,6 +50,8 @@
 	Arrived clock.Millis
 	// Fresh is a sample fetched for this read beside those of the view; the zero value is none.
 	Fresh Sample
+	// ReplicaOnly leaves the primary out, for a read that may still wait for a replica.
+	ReplicaOnly bool
 	// Deadline is when the caller gives up; 0 means never.
 	Deadline clock.Millis
 }
--- /dev/null
+++ b/internal/request/route/wait_test.go
@@ -0,0 +1,62 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/service"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/position"
+)
+
+// laggingView has a primary a and one replica b that has applied the sample asked at 900.
+func laggingView() *View {
+	at := func(p position.Position) position.Point { return position.Point{Term: 1, Position: p} }
+	a := group.Target{ID: "a", Slots: 5}
+	b := group.Target{ID: "b", Slots: 5}
+	return &View{
+		Record: group.Record{Term: 1, Primary: "a", Targets: []group.Target{a, b}},
+		Targets: []TargetView{
+			{Target: a, AskedAt: 1000, Status: group.Status{Primary: true, Promise: 1, Received: at(50), Applied: at(50)}},
+			{Target: b, AskedAt: 1000, Status: group.Status{Following: "a", Promise: 1, Received: at(50), Applied: at(30)}},
+		},
+		Samples: []Sample{{Point: at(30), AskedAt: 900}, {Point: at(50), AskedAt: 990}},
+	}
+}
+
+func TestWorthWaiting(t *testing.T) {
+	tests := []struct {
+		name  string
+		most  clock.Millis
+		alter func(v *View)
+		want  bool
+	}{
+		{"within the wait", 100, func(*View) {}, true},
+		{"too far behind", 99, func(*View) {}, false},
+		{"down", 100, func(v *View) { v.Targets[1].Down = true }, false},
+		{"leaving", 100, func(v *View) { v.Targets[1].Leaving = true }, false},
+		{"cut off", 100, func(v *View) { v.Targets[1].Status.Following = "" }, false},
+		{"no sample applied", 100, func(v *View) { v.Targets[1].Status.Applied = position.Point{} }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := laggingView()
+			tt.alter(v)
+			if got := WorthWaiting(v, tt.most); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestReplicaOnlyLeavesThePrimaryOut(t *testing.T) {
+	n := Need{Request: service.Request{Kind: service.Read, MaxAge: 50}, ReplicaOnly: true}
+	first := func(int) int { return 0 }
+	if got, want := Choose(laggingView(), 1000, n, first).Kind, Wait; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	n.ReplicaOnly = false
+	if got, want := Choose(laggingView(), 1000, n, first).Kind, Primary; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
