--- a/internal/version/group/change.go
+++ b/internal/version/group/change.go
@@ -26,6 +26,8 @@
 	// refused are the targets that promised this term to another holder.
 	refused  map[TargetID]bool
 	fencedAt clock.Millis
+	// avoid is a primary that is not to be chosen again.
+	avoid    TargetID
 	chosen   Target
 	settling bool
 }
@@ -45,11 +47,24 @@
 		orders:  map[TargetID]*sentOrder{},
 		fenced:  map[TargetID]Status{},
 		refused: map[TargetID]bool{},
+		avoid:   m.unwanted(),
 	}
 	m.report(ReportStarted, m.leader.id, term, string(c))
 	m.drive()
 }
 
+// unwanted is a leader that answers but should not stay, while others can take over.
+func (m *Machine) unwanted() TargetID {
+	t := m.members[m.leader.id]
+	if t == nil || m.replicasUp() < m.rec.Majority() {
+		return ""
+	}
+	if m.stall.cutOff || t.leaving || t.confirmed {
+		return m.leader.id
+	}
+	return ""
+}
+
 // drive takes the change under way as far as it gets.
 func (m *Machine) drive() {
 	if m.change == nil || m.overtaken() {
@@ -160,11 +175,23 @@
 		return
 	}
 	c.refused[e.Target] = true
-	if len(m.rec.Targets)-len(c.refused) < m.rec.Majority() {
+	if m.winnable() < m.rec.Majority() {
 		m.abandon("outranked by another holder")
 	}
 }
 
+// winnable counts the targets that have promised the term to this daemon or still may.
+func (m *Machine) winnable() int {
+	n := 0
+	for id, t := range m.members {
+		_, fenced := m.change.fenced[id]
+		if id != m.change.avoid && (fenced || t.up() && !m.change.refused[id]) {
+			n++
+		}
+	}
+	return n
+}
+
 // sameTargets reports whether two records have the same members.
 func sameTargets(a, b Record) bool {
 	return slices.EqualFunc(a.Targets, b.Targets, func(x, y Target) bool { return x.ID == y.ID })
--- a/internal/version/group/fence.go
+++ b/internal/version/group/fence.go
@@ -21,7 +21,7 @@
 		}
 	}
 	best, ok := choose(m.rec, c.fenced, m.isLeaving)
-	if !ok {
+	if !ok || best.ID == c.avoid {
 		if m.now-c.since >= m.s.StepTimeout {
 			m.abandon("no majority fenced")
 		}
--- a/internal/version/group/follow.go
+++ b/internal/version/group/follow.go
@@ -15,6 +15,13 @@
 	}
 }
 
+// forgetStrays drops the delays that were drawn for another leader.
+func (m *Machine) forgetStrays() {
+	for _, t := range m.members {
+		t.loose = false
+	}
+}
+
 // strays reports whether a target should be following the leader and is not.
 func (m *Machine) strays(o *member) bool {
 	if !o.up() || o.status.Promise > m.leader.term {
--- a/internal/version/group/leader.go
+++ b/internal/version/group/leader.go
@@ -22,7 +22,8 @@
 		m.report(ReportAdopted, l.id, l.term, "")
 	}
 	if l.id != m.leader.id || l.term != m.leader.term {
-		m.stall = stall{since: m.now}
+		m.stall = stall{since: m.now, moved: m.now}
+		m.forgetStrays()
 	}
 	m.leader = l
 }
--- a/internal/version/group/stall.go
+++ b/internal/version/group/stall.go
@@ -21,6 +21,9 @@
 		m.stall = stall{since: m.now, moved: m.now}
 		return
 	}
+	if m.outgrown() {
+		return // the streams ended by order, which tells nothing of the leader
+	}
 	if m.streams() >= m.rec.Majority() {
 		m.stall.since = m.now
 	}
@@ -32,7 +35,7 @@
 	m.stall.held = held
 	lost := m.now-m.stall.since >= m.s.CutOffAfter
 	stuck := m.now-m.stall.moved >= m.s.StallAfter
-	m.stall.cutOff = (lost || stuck) && m.othersUp() >= m.rec.Majority()
+	m.stall.cutOff = (lost || stuck) && m.replicasUp() >= m.rec.Majority()
 }
 
 // streams counts the leader and the targets that its log streams to.
@@ -70,3 +73,14 @@
 	}
 	return n
 }
+
+// replicasUp counts the targets that answer and are not primary of any term.
+func (m *Machine) replicasUp() int {
+	n := 0
+	for id, t := range m.members {
+		if id != m.leader.id && t.up() && !t.status.Primary {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/version/group/trigger.go
+++ b/internal/version/group/trigger.go
@@ -106,7 +106,11 @@
 // fenceable reports whether enough targets answer for a change to come to an end.
 func (m *Machine) fenceable(c cause) bool {
 	n := m.othersUp()
-	if t := m.members[m.leader.id]; c == causeUnfinished && t != nil && t.up() {
+	t := m.members[m.leader.id]
+	switch {
+	case c == causeCutOff, c == causeLeaving:
+		n = m.replicasUp()
+	case t != nil && t.up():
 		n++
 	}
 	return n >= m.rec.Majority()
