target: ask for positions and lend connections without allocating

Each exchange encoded PositionQuery anew, copied its row into strings, and woke the pool's waiters although there were none. The message is encoded once, the row is parsed in place, and the pool signals only while someone waits.

--- a/internal/connection/caller/attempt.go
+++ b/internal/connection/caller/attempt.go
@@ -129,15 +129,16 @@
 		t.SendPosition()
 	}
 	err := t.Flush()
-	// What was refused before its first byte left has not been sent.
-	var safe interface{ SafeToRetry() bool }
-	a.sent = err == nil || !errors.As(err, &safe) || !safe.SafeToRetry()
-	if errors.Is(err, target.ErrBroken) {
-		a.sent = false
-	}
+	a.sent = err == nil || !unsent(err)
 	return err
 }
 
+// unsent reports whether the error came before the first byte left.
+func unsent(err error) bool {
+	var safe interface{ SafeToRetry() bool }
+	return errors.Is(err, target.ErrBroken) || errors.As(err, &safe) && safe.SafeToRetry()
+}
+
 // beginSeparator keeps a BEGIN that ends in a line comment from taking the statement in.
 const beginSeparator = "\n;"
 
@@ -198,11 +199,11 @@
 	case c.tx.open && (!a.sent || !c.exchange.has(session.Commit)):
 		return a.lostTransaction(cut)
 	case a.safe() && !c.answer.forwarded && a.first && !cut:
-		return a.again(refusal.Interrupted("read was cut off"))
+		return a.again(unanswered("read was cut off"))
 	case a.safe() && cut:
 		return verdict{kind: failed, err: refusal.ReadDeadline("read was cut off")}
 	case a.safe():
-		return verdict{kind: failed, err: refusal.Interrupted("read was cut off")}
+		return verdict{kind: failed, err: a.cutRead("read was cut off")}
 	default:
 		return verdict{kind: failed, err: refusal.UnknownOutcome("outcome unknown")}
 	}
@@ -216,6 +217,19 @@
 	return verdict{kind: failed, err: notCommitted()}
 }
 
+// cutRead refuses a read that cannot be repeated.
+func (a *attempt) cutRead(message string) *refusal.Error {
+	if a.c.answer.forwarded {
+		return refusal.Interrupted(message)
+	}
+	return unanswered(message)
+}
+
+// unanswered refuses a read of which the caller has got nothing.
+func unanswered(message string) *refusal.Error {
+	return &refusal.Error{Code: refusal.NoPrimaryCode, Message: message, Detail: "nothing was returned"}
+}
+
 func notCommitted() *refusal.Error {
 	return &refusal.Error{
 		Code:    "08006",
--- a/internal/connection/target/conn.go
+++ b/internal/connection/target/conn.go
@@ -41,7 +41,9 @@
 	settings   string
 	status     byte
 	// owed is how many ReadyForQuery messages are due.
-	owed   int
+	owed int
+	// raw is reused by SendEncoded.
+	raw    encoded
 	broken atomic.Bool
 }
 
@@ -230,7 +232,8 @@
 // SendEncoded buffers messages that were encoded before, to be answered by that many ReadyForQuery messages.
 func (c *Conn) SendEncoded(b []byte, answers int) {
 	c.owed += answers
-	c.front.Send(&encoded{b})
+	c.raw.b = b
+	c.front.Send(&c.raw)
 }
 
 // Skip reads one answer up to ReadyForQuery and returns the target's error, if it gave one.
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -40,7 +40,7 @@
 	idle    []resting
 	open    int
 	closed  bool
-	// freed is closed and replaced whenever a connection or a place becomes free.
+	// freed is closed whenever a connection or a place becomes free; nil while nobody waits.
 	freed chan struct{}
 }
 
@@ -54,7 +54,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = Dial
 	}
-	return &Pool{address: a, cfg: cfg, freed: make(chan struct{})}
+	return &Pool{address: a, cfg: cfg}
 }
 
 // Get returns an idle connection, opens one, or waits for one until ctx ends.
@@ -91,6 +91,9 @@
 		p.drop(c)
 	}
 	if p.open >= p.cfg.Maximum {
+		if p.freed == nil {
+			p.freed = make(chan struct{})
+		}
 		return nil, p.freed, nil
 	}
 	p.open++
@@ -211,6 +214,8 @@
 }
 
 func (p *Pool) signal() {
-	close(p.freed)
-	p.freed = make(chan struct{})
+	if p.freed != nil {
+		close(p.freed)
+		p.freed = nil
+	}
 }
--- a/internal/connection/target/query.go
+++ b/internal/connection/target/query.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"strconv"
+	"math"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -37,25 +37,60 @@
 
 // Position asks the target for its role and the last point applied.
 func (c *Conn) Position(ctx context.Context) (Place, error) {
-	r, err := c.ask(ctx, PositionQuery)
-	if err != nil {
+	defer c.Attach(ctx)()
+	c.SendPosition()
+	if err := c.Flush(); err != nil {
 		return Place{}, fmt.Errorf("ask position: %w", err)
 	}
-	return parsePlace(r)
+	return c.ReceivePosition()
+}
+
+// positionMessage is PositionQuery as it is sent.
+var positionMessage = encodeQuery(PositionQuery)
+
+func encodeQuery(sql string) []byte {
+	b, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		panic(err) // it is a constant, far below the limit on length
+	}
+	return b
 }
 
 // SendPosition buffers PositionQuery behind what was buffered before.
-func (c *Conn) SendPosition() { c.Send(&pgproto3.Query{String: PositionQuery}) }
+func (c *Conn) SendPosition() { c.SendEncoded(positionMessage, 1) }
 
 // ReceivePosition reads the answer to PositionQuery up to its ReadyForQuery.
 func (c *Conn) ReceivePosition() (Place, error) {
-	r, err := c.answer()
+	p, err := c.receivePlace()
 	if err != nil {
 		return Place{}, fmt.Errorf("read position: %w", err)
 	}
-	return parsePlace(r)
+	return p, nil
+}
+
+// receivePlace parses the row in place, since each exchange has one.
+func (c *Conn) receivePlace() (Place, error) {
+	var p Place
+	failed := errNoRow
+	for {
+		msg, err := c.Receive()
+		if err != nil {
+			return Place{}, err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.DataRow:
+			p, failed = parsePlace(m.Values)
+		case *pgproto3.ErrorResponse:
+			failed = serverError(m)
+		case *pgproto3.ReadyForQuery:
+			return p, failed
+		}
+	}
 }
 
+// errNoRow means that an answer has no row.
+var errNoRow = fmt.Errorf("no row: %w", ErrAnswer)
+
 // Run executes statements that return nothing of interest, in one simple query.
 func (c *Conn) Run(ctx context.Context, sql string) error {
 	_, err := c.ask(ctx, sql)
@@ -134,7 +169,7 @@
 	}, nil
 }
 
-func parsePlace(r row) (Place, error) {
+func parsePlace(r [][]byte) (Place, error) {
 	if len(r) != positionColumns {
 		return Place{}, fmt.Errorf("position of %d columns: %w", len(r), ErrAnswer)
 	}
@@ -149,8 +184,8 @@
 	return Place{Primary: primary, Applied: p}, nil
 }
 
-func flag(s string) (bool, error) {
-	switch s {
+func flag[T string | []byte](s T) (bool, error) {
+	switch string(s) {
 	case "t":
 		return true, nil
 	case "f":
@@ -160,7 +195,7 @@
 	}
 }
 
-func point(term, pos string) (position.Point, error) {
+func point[T string | []byte](term, pos T) (position.Point, error) {
 	t, err := number(term)
 	if err != nil {
 		return position.Point{}, err
@@ -172,10 +207,21 @@
 	return position.Point{Term: position.Term(t), Position: position.Position(n)}, nil
 }
 
-func number(s string) (uint64, error) {
-	n, err := strconv.ParseUint(s, 10, 64)
-	if err != nil {
+// number reads digits without an allocation, which strconv would need for bytes.
+func number[T string | []byte](s T) (uint64, error) {
+	if len(s) == 0 || len(s) > maxDigits {
 		return 0, fmt.Errorf("number %q: %w", s, ErrAnswer)
 	}
+	var n uint64
+	for i := range len(s) {
+		d := uint64(s[i] - '0')
+		if d > 9 || n > (math.MaxUint64-d)/10 {
+			return 0, fmt.Errorf("number %q: %w", s, ErrAnswer)
+		}
+		n = n*10 + d
+	}
 	return n, nil
 }
+
+// maxDigits is the length of the largest number.
+const maxDigits = 20
--- a/internal/connection/target/shape_test.go
+++ b/internal/connection/target/shape_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"testing"
 
 	"github.com/cactusfork/cactusfork/internal/version/group"
@@ -28,9 +29,20 @@
 }
 
 func TestAnswersOfTheWrongShape(t *testing.T) {
-	places := []row{nil, {"t", "1"}, {"t", "x", "1"}, {"t", "1", "-1"}, {"t", "1", "1", "1"}, {"yes", "1", "1"}}
+	places := []row{
+		nil,
+		{"t", "1"},
+		{"t", "x", "1"},
+		{"t", "1", "-1"},
+		{"t", "1", "1", "1"},
+		{"yes", "1", "1"},
+		{"t", "", "1"},
+		{"t", "18446744073709551616", "1"},
+		{"t", "1", "99999999999999999999"},
+		{"t", "1", "000000000000000000001"},
+	}
 	for _, r := range places {
-		if got, err := parsePlace(r); !errors.Is(err, ErrAnswer) {
+		if got, err := parsePlace(r.bytes()); !errors.Is(err, ErrAnswer) {
 			t.Errorf("got %v and %v for %q, want ErrAnswer", got, err, r)
 		}
 	}
@@ -58,3 +70,19 @@
 		t.Error("got a dropped statement, want none")
 	}
 }
+
+func (r row) bytes() [][]byte {
+	var list [][]byte
+	for _, s := range r {
+		list = append(list, []byte(s))
+	}
+	return list
+}
+
+func TestNumber(t *testing.T) {
+	for _, want := range []uint64{0, 7, 1 << 40, 1<<64 - 1} {
+		if got, err := number(strconv.FormatUint(want, 10)); got != want || err != nil {
+			t.Errorf("got %d and %v, want %d", got, err, want)
+		}
+	}
+}
