caller: bound what a caller can leave behind and name transactions by their statements

Statements, portals and steps of a caller had no bound, buffers of one long exchange stayed allocated, a statement behind an unnamed BEGIN in one pipeline made the transaction an unnamed write, and a simple query took more answers than it has statements. ROLLBACK TO behind SET is refused, since the proxy could not tell the parameters afterwards. Tokens take the keys in force.

--- a/internal/connection/caller/answer.go
+++ b/internal/connection/caller/answer.go
@@ -17,10 +17,17 @@
 	committed  bool
 	rolledBack bool
 	forgotten  bool
-	status     byte
+	// completions is how many statements were answered.
+	completions int
+	status      byte
 }
 
-func (a *answer) reset() { *a = answer{buf: a.buf[:0]} }
+func (a *answer) reset() {
+	if cap(a.buf) > maxKeptBytes {
+		a.buf = nil
+	}
+	*a = answer{buf: a.buf[:0]}
+}
 
 // add encodes a message; messages of a target always encode.
 func (a *answer) add(msg pgproto3.BackendMessage) {
--- a/internal/connection/caller/collect.go
+++ b/internal/connection/caller/collect.go
@@ -45,12 +45,22 @@
 		if err != nil || done {
 			return err
 		}
-		if len(c.exchange.buf) > c.server.cfg.MaxExchange {
+		if c.tooMuch() {
 			return &refusal.Error{Code: "54000", Message: "exchange is too long", Detail: refusal.NotRunDetail, NotRun: true}
 		}
 	}
 }
 
+// maxSteps bounds the messages of an exchange, the prepared statements and the portals of a caller.
+const maxSteps = 1 << 14
+
+// tooMuch reports whether the caller has sent more than the connection is to keep.
+func (c *conn) tooMuch() bool {
+	x := &c.exchange
+	return len(x.buf) > c.server.cfg.MaxExchange || len(x.steps) > maxSteps ||
+		len(c.statements) > maxSteps || len(c.portals) > maxSteps
+}
+
 // take adds a message to the exchange and reports whether that completes it.
 func (c *conn) take(msg pgproto3.FrontendMessage) (bool, error) {
 	x := &c.exchange
--- a/internal/connection/caller/exchange.go
+++ b/internal/connection/caller/exchange.go
@@ -63,7 +63,19 @@
 	refused error
 }
 
+// maxKeptBytes and maxKeptSteps are what a connection keeps allocated between exchanges.
+const (
+	maxKeptBytes = 64 << 10
+	maxKeptSteps = 256
+)
+
 func (x *exchange) reset() {
+	if cap(x.buf) > maxKeptBytes {
+		x.buf = nil
+	}
+	if cap(x.steps) > maxKeptSteps {
+		x.steps, x.runs = nil, nil
+	}
 	*x = exchange{buf: x.buf[:0], steps: x.steps[:0], runs: x.runs[:0]}
 }
 
@@ -115,8 +127,9 @@
 
 // reads reports whether all statements read by their form.
 func (x *exchange) reads() bool {
-	for _, r := range x.runs {
-		if !r.Reads {
+	for i := range x.runs {
+		r := &x.runs[i]
+		if !r.Reads && !r.control() {
 			return false
 		}
 	}
@@ -132,20 +145,31 @@
 	return list
 }
 
-// requestOf returns how the exchange counts: differing names make it an unnamed write.
+// requestOf returns how the exchange counts: differing names make it an unnamed write, but for what only opens or ends a transaction.
 func requestOf(s *service.Service, x *exchange) service.Request {
 	if len(x.runs) == 0 {
 		return requestOfSteps(s, x)
 	}
-	name := x.runs[0].request
-	for _, r := range x.runs[1:] {
-		if r.request != name {
+	var name service.RequestName
+	found := false
+	for i := range x.runs {
+		r := &x.runs[i]
+		if r.request == "" && r.control() {
+			continue
+		}
+		if found && r.request != name {
 			return service.Unnamed("")
 		}
+		name, found = r.request, true
 	}
 	return s.Request(name)
 }
 
+// control reports whether the statement only opens or ends a transaction.
+func (r *run) control() bool {
+	return r.Kind == session.Begin || r.Kind == session.Commit || r.Kind == session.Rollback
+}
+
 // requestOfSteps counts an exchange that only prepares as the request that it prepares.
 func requestOfSteps(s *service.Service, x *exchange) service.Request {
 	for _, t := range x.steps {
--- a/internal/connection/caller/fake_test.go
+++ b/internal/connection/caller/fake_test.go
@@ -36,11 +36,12 @@
 	point   position.Point
 	// faults by a text that the statement holds; each is used once.
 	faults map[string]fault
-	// log of the statements that ran.
-	log     []string
-	cancels int
-	rows    int
-	conns   []net.Conn
+	// log of the statements that ran, unless it is unlogged.
+	log      []string
+	unlogged bool
+	cancels  int
+	rows     int
+	conns    []net.Conn
 	// followers apply every write at once.
 	followers []*fakeTarget
 }
@@ -95,6 +96,9 @@
 func (f *fakeTarget) take(sql string) fault {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.unlogged {
+		return none
+	}
 	f.log = append(f.log, sql)
 	for text, v := range f.faults {
 		if strings.Contains(sql, text) {
@@ -131,15 +135,14 @@
 	}
 	s.back.Send(&pgproto3.AuthenticationOk{})
 	s.back.Send(&pgproto3.BackendKeyData{ProcessID: 7, SecretKey: []byte{1, 2, 3, 4}})
+	s.back.Send(&pgproto3.ParameterStatus{Name: "standard_conforming_strings", Value: "on"})
+	s.back.Send(&pgproto3.ParameterStatus{Name: "client_encoding", Value: "UTF8"})
 	s.ready()
-	for s.back.Flush() == nil {
-		if !s.batch() {
-			return
-		}
+	for s.batch() {
 	}
 }
 
-// batch answers one message; the answers are flushed behind it.
+// batch answers one message.
 func (s *fakeSession) batch() bool {
 	msg, err := s.back.Receive()
 	if err != nil {
@@ -331,7 +334,11 @@
 	}
 }
 
-func (s *fakeSession) ready() { s.back.Send(&pgproto3.ReadyForQuery{TxStatus: s.status}) }
+// ready sends what was answered, as a database server does behind each ReadyForQuery.
+func (s *fakeSession) ready() {
+	s.back.Send(&pgproto3.ReadyForQuery{TxStatus: s.status})
+	s.back.Flush()
+}
 
 func returnsRows(sql string) bool {
 	return strings.HasPrefix(strings.ToLower(sql), "select")
--- a/internal/connection/caller/harness_test.go
+++ b/internal/connection/caller/harness_test.go
@@ -105,7 +105,9 @@
 		Confirm: func(_ context.Context, _ group.ID, p position.Point) error {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			h.confirmed = append(h.confirmed, p)
+			if !h.primary.unlogged {
+				h.confirmed = append(h.confirmed, p)
+			}
 			if h.confirm != nil {
 				return h.confirm(p)
 			}
@@ -114,14 +116,18 @@
 		Report: func(o Outcome) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			h.outcomes = append(h.outcomes, o)
+			if !h.primary.unlogged {
+				h.outcomes = append(h.outcomes, o)
+			}
 		},
 	}
 }
 
 func (h *harness) lease(ctx context.Context, _ *service.Service, n route.Need, o AcquireOptions) (*Lease, error) {
 	h.mu.Lock()
-	h.needs = append(h.needs, n)
+	if !h.primary.unlogged {
+		h.needs = append(h.needs, n)
+	}
 	acquire := h.acquire
 	h.mu.Unlock()
 	if acquire != nil {
@@ -144,13 +150,13 @@
 	}, nil
 }
 
-func (h *harness) url(options string) string {
-	return "postgres://shop@" + h.address + "/shop?sslmode=disable" + options
+func (h *harness) url() string {
+	return "postgres://shop@" + h.address + "/shop?sslmode=disable"
 }
 
 func (h *harness) dial(mode pgx.QueryExecMode) *pgx.Conn {
 	h.tb.Helper()
-	cfg, err := pgx.ParseConfig(h.url(""))
+	cfg, err := pgx.ParseConfig(h.url())
 	if err != nil {
 		h.tb.Fatal(err)
 	}
--- a/internal/connection/caller/receive.go
+++ b/internal/connection/caller/receive.go
@@ -122,18 +122,20 @@
 // within accepts a message that leaves the step due.
 func (a *attempt) within(k stepKind) progress {
 	d := a.c.plan.current()
-	if a.c.exchange.simple || d != nil && d.kind == k {
-		return more
+	if a.c.exchange.simple {
+		return only(k == stepExecute)
 	}
-	return nonsense
+	return only(d != nil && d.kind == k)
 }
 
 // step accepts a message that completes a step, and forwards it unless the step is the proxy's own.
 func (a *attempt) step(m pgproto3.BackendMessage, k stepKind) progress {
 	ans := &a.c.answer
 	if a.c.exchange.simple {
+		ans.completions++
 		ans.add(m)
-		return more
+		// A query of no statement at all is answered once as well.
+		return only(k == stepExecute && ans.completions <= max(1, len(a.c.exchange.runs)))
 	}
 	d := a.c.plan.current()
 	if d == nil || !completes(d.kind, k) {
@@ -148,6 +150,14 @@
 	return more
 }
 
+// only accepts a message if it fits.
+func only(fits bool) progress {
+	if fits {
+		return more
+	}
+	return nonsense
+}
+
 // completes reports whether a message for k fits the step; describes and closes share their messages.
 func completes(step, k stepKind) bool {
 	switch step {
--- a/internal/connection/caller/run.go
+++ b/internal/connection/caller/run.go
@@ -38,6 +38,8 @@
 		return c.answerToken()
 	case c.settingMixed():
 		return c.refuse(unsupported("SET in one exchange with other statements"))
+	case x.has(session.RollbackTo) && c.session.Settings().Pending():
+		return c.refuse(unsupported("ROLLBACK TO behind SET"))
 	case c.opensTransaction():
 		return c.answerBegin()
 	case c.endsUnsent():
@@ -87,7 +89,8 @@
 	if c.tx.open && c.tx.named {
 		return
 	}
-	if s, ok := c.server.seams.Service(c.service.Name); ok {
+	// A service that has moved to another group is new to callers that log in.
+	if s, ok := c.server.seams.Service(c.service.Name); ok && s.Group == c.session.Group() {
 		c.service = s
 	}
 	c.tx.request = requestOf(c.service, &c.exchange)
--- a/internal/connection/caller/settle.go
+++ b/internal/connection/caller/settle.go
@@ -86,9 +86,9 @@
 	case cut:
 		return verdict{kind: failed, err: refusal.ReadDeadline("read was cut off"), reuse: reuse}
 	case a.c.answer.forwarded || !a.first || a.c.tx.open:
-		return verdict{kind: failed, err: refusal.Interrupted("read was not confirmed"), reuse: reuse}
+		return verdict{kind: failed, err: a.cutRead("read was not confirmed"), reuse: reuse}
 	default:
-		v := a.again(refusal.Interrupted("read was not confirmed"))
+		v := a.again(unanswered("read was not confirmed"))
 		v.reuse = reuse
 		return v
 	}
--- a/internal/connection/caller/startup.go
+++ b/internal/connection/caller/startup.go
@@ -164,7 +164,7 @@
 		return refusal.UnknownService(fmt.Sprintf("service %q is not published", name))
 	}
 	c.service = s
-	c.session = session.New(s.Group, c.server.seams.Tokens())
+	c.session = session.New(s.Group, c.server.seams.Tokens)
 	return nil
 }
 
--- a/internal/connection/caller/startup_test.go
+++ b/internal/connection/caller/startup_test.go
@@ -121,7 +121,7 @@
 	if _, err := c.Exec(ctx, writeSQL); err != nil {
 		t.Error(err)
 	}
-	if _, err := pgx.Connect(ctx, h.url("")); codeOf(err) != "28000" {
+	if _, err := pgx.Connect(ctx, h.url()); codeOf(err) != "28000" {
 		t.Errorf("got %v without tls, want 28000", err)
 	}
 }
@@ -129,7 +129,7 @@
 func TestConnectionLimit(t *testing.T) {
 	h := newHarness(t, func(c *Config, _ *Seams) { c.MaxConnections = 1 })
 	h.dial(pgx.QueryExecModeExec)
-	_, err := pgx.Connect(context.Background(), h.url(""))
+	_, err := pgx.Connect(context.Background(), h.url())
 	if got := codeOf(err); got != "53300" {
 		t.Errorf("got %q, want 53300", got)
 	}
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -15,15 +15,15 @@
 // Session is the state of one caller connection that reads must respect; it is for one goroutine.
 type Session struct {
 	group    group.ID
-	keys     *token.Keys
+	keys     func() *token.Keys
 	floor    position.Point
 	floored  bool
 	carried  bool
 	settings Settings
 }
 
-// New returns a session that has seen nothing yet.
-func New(g group.ID, keys *token.Keys) *Session { return &Session{group: g, keys: keys} }
+// New returns a session that has seen nothing yet; keys returns those in force.
+func New(g group.ID, keys func() *token.Keys) *Session { return &Session{group: g, keys: keys} }
 
 // Group is the database group that the session speaks to.
 func (s *Session) Group() group.ID { return s.group }
@@ -45,7 +45,7 @@
 
 // Accept takes a token; one that is damaged, forged or of another group changes nothing and gives a *refusal.Error with code 22023.
 func (s *Session) Accept(text string) error {
-	t, err := s.keys.Decode(text)
+	t, err := s.keys().Decode(text)
 	if err != nil {
 		return refusal.BadToken(fmt.Sprintf("invalid value for %s: %v", TokenParameter, err))
 	}
@@ -62,7 +62,7 @@
 	if !s.floored {
 		return ""
 	}
-	return s.keys.Encode(token.Token{Group: string(s.group), Point: s.floor})
+	return s.keys().Encode(token.Token{Group: string(s.group), Point: s.floor})
 }
 
 // Settings are the parameters that the caller has set.
--- a/internal/connection/session/session_test.go
+++ b/internal/connection/session/session_test.go
@@ -41,7 +41,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := New("shop-db", own)
+			s := New("shop-db", func() *token.Keys { return own })
 			s.Raise(position.Point{Term: 1, Position: 50})
 			err := s.Accept(tt.text)
 			var refused *refusal.Error
@@ -59,7 +59,8 @@
 }
 
 func TestNoTokenWithoutFloor(t *testing.T) {
-	if got := New("shop-db", keys(t, "0123456789abcdef")).Token(); got != "" {
+	own := keys(t, "0123456789abcdef")
+	if got := New("shop-db", func() *token.Keys { return own }).Token(); got != "" {
 		t.Errorf("got %q, want none", got)
 	}
 }
@@ -82,8 +83,8 @@
 		{"END", Commit, "", "", false},
 		{"rollback", Rollback, "", "", false},
 		{"abort", Rollback, "", "", false},
-		{"rollback to savepoint a", Plain, "", "", false},
-		{"rollback work to a", Plain, "", "", false},
+		{"rollback to savepoint a", RollbackTo, "", "", false},
+		{"rollback work to a", RollbackTo, "", "", false},
 		{"set search_path = a", SetParameter, "search_path", "", false},
 		{"SET SESSION Search_Path TO a", SetParameter, "search_path", "", false},
 		{"set time zone 'UTC'", SetParameter, "timezone", "", false},
--- a/internal/connection/session/settings.go
+++ b/internal/connection/session/settings.go
@@ -39,6 +39,9 @@
 	s.pending = append(s.pending, change{strings.ToLower(name), sql})
 }
 
+// Pending reports whether anything was noted inside the open transaction.
+func (s *Settings) Pending() bool { return len(s.pending) > 0 }
+
 // Commit puts what was noted inside the transaction into force.
 func (s *Settings) Commit() {
 	if len(s.pending) > 0 {
--- a/internal/connection/session/statement.go
+++ b/internal/connection/session/statement.go
@@ -15,6 +15,8 @@
 	Commit
 	// Rollback ends a transaction without effect.
 	Rollback
+	// RollbackTo undoes a part of a transaction.
+	RollbackTo
 	// SetParameter changes a parameter for the session.
 	SetParameter
 	// ResetParameter puts a parameter back.
@@ -76,7 +78,7 @@
 		word, _ = keyword(sql, skipSpace(sql, next))
 	}
 	if word == "to" {
-		return Plain
+		return RollbackTo
 	}
 	return Rollback
 }
