peer: test what daemons ask of each other

Cause: the calls between daemons were tested only by their good case. Change: contract tests over wrong, oversized, late, doubled and reordered messages, old incarnations, unknown fields, parts and a stopped mesh.

--- /dev/null
+++ b/internal/process/peer/contract_test.go
@@ -0,0 +1,183 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+
+	"github.com/cactusfork/cactusfork/internal/process/peer/peerv1"
+	"github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+func wireMember(id string, in uint64, s peerv1.State) *peerv1.Member {
+	return &peerv1.Member{Id: id, Address: "127.0.0.1:1", DataCentre: "dc-1", Incarnation: in, State: s}
+}
+
+func TestExchangeRefusesUnusableSenders(t *testing.T) {
+	m := startMesh(t, "d1", clock.System(), Seams{})
+	alive := peerv1.State_STATE_ALIVE
+	tests := []struct {
+		name string
+		self *peerv1.Member
+		code connect.Code
+	}{
+		{"none", nil, connect.CodeInvalidArgument},
+		{"no id", wireMember("", 1, alive), connect.CodeInvalidArgument},
+		{"long id", wireMember(strings.Repeat("x", 300), 1, alive), connect.CodeInvalidArgument},
+		{"no address", &peerv1.Member{Id: "x", Incarnation: 1, State: alive}, connect.CodeInvalidArgument},
+		{"unknown state", wireMember("x", 1, 9), connect.CodeInvalidArgument},
+		{"endless incarnation", wireMember("x", 1<<63, alive), connect.CodeInvalidArgument},
+		{"oversized", &peerv1.Member{Id: strings.Repeat("x", maxMessage)}, connect.CodeResourceExhausted},
+	}
+	peer := newCaller(nil, clock.System(), 10*clock.Second).peer(m.cfg.Address)
+	for _, tt := range tests {
+		req := &peerv1.ExchangeRequest{Heartbeat: &peerv1.Heartbeat{Self: tt.self}}
+		_, err := peer.Exchange(t.Context(), connect.NewRequest(req))
+		if got := connect.CodeOf(err); got != tt.code {
+			t.Errorf("%s: got %v, want %v", tt.name, err, tt.code)
+		}
+	}
+	if n := len(m.Live()); n != 0 {
+		t.Errorf("got %d members, want 0", n)
+	}
+}
+
+func TestExchangeToleratesUnknownFields(t *testing.T) {
+	m := startMesh(t, "d1", clock.System(), Seams{})
+	path, _ := m.Handler()
+	body := `{"heartbeat":{"self":{"id":"d9","address":"127.0.0.1:1","dataCentre":"dc-1","incarnation":"1","state":1,"new":3},"newer":{}}}`
+	resp, err := http.Post("http://"+m.cfg.Address+path+"Exchange", "application/json", bytes.NewBufferString(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("got %d, want %d", resp.StatusCode, http.StatusOK)
+	}
+}
+
+func TestExchangeKeepsTheNewestIncarnation(t *testing.T) {
+	clk := clock.NewManual(0)
+	m := startMesh(t, "d1", &clk.Clock, Seams{})
+	beats := []struct {
+		in    uint64
+		state peerv1.State
+		live  int
+	}{
+		{2, peerv1.State_STATE_ALIVE, 1},
+		{2, peerv1.State_STATE_ALIVE, 1},
+		{1, peerv1.State_STATE_ALIVE, 1},
+		{1, peerv1.State_STATE_LEFT, 1},
+		{2, peerv1.State_STATE_LEFT, 0},
+		{2, peerv1.State_STATE_ALIVE, 0},
+		{3, peerv1.State_STATE_ALIVE, 1},
+	}
+	for i, b := range beats {
+		beat := &peerv1.Heartbeat{Self: wireMember("d9", b.in, b.state)}
+		if _, err := newCaller(nil, clock.System(), 10*clock.Second).exchange(t.Context(), m.cfg.Address, beat, false); err != nil {
+			t.Fatal(err)
+		}
+		if got := len(m.Live()); got != b.live {
+			t.Errorf("beat %d: got %d live, want %d", i, got, b.live)
+		}
+	}
+}
+
+func TestLatePeerIsGivenUp(t *testing.T) {
+	clk := clock.NewManual(0)
+	asked := make(chan struct{})
+	release := make(chan struct{})
+	late := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(asked)
+		<-release
+	}))
+	defer late.Close()
+	defer close(release)
+	go func() {
+		<-asked
+		clk.Advance(50)
+	}()
+	c := newCaller(nil, &clk.Clock, 50)
+	_, err := c.view(t.Context(), strings.TrimPrefix(late.URL, "http://"), "g", "t")
+	if got := connect.CodeOf(err); got != connect.CodeCanceled {
+		t.Errorf("got %v, want %v", err, connect.CodeCanceled)
+	}
+}
+
+func TestAskViewLeavesOutSilentPeers(t *testing.T) {
+	clk := clock.System()
+	view := func(g group.ID, target group.TargetID) View {
+		if g == "g" && target == "t" {
+			return View{Reach: Unreachable, Ago: 7}
+		}
+		return View{}
+	}
+	a := startMesh(t, "a", clk, Seams{})
+	startMesh(t, "b", clk, Seams{View: view}, a.cfg.Address)
+	startMesh(t, "c", clk, Seams{View: view}, a.cfg.Address)
+	eventually(func() bool { return len(a.Live()) == 2 })
+	eventually(func() bool { return len(a.AskView(t.Context(), "g", "t", 5)) == 2 })
+	for _, v := range a.AskView(t.Context(), "g", "t", 5) {
+		if v.Reach != Unreachable || v.Ago != 7 {
+			t.Errorf("got %+v, want unreachable 7 ago", v)
+		}
+	}
+	for _, v := range a.AskView(t.Context(), "g", "other", 1) {
+		if v.Reach != Unknown {
+			t.Errorf("got %+v, want unknown", v)
+		}
+	}
+}
+
+func TestObjectsComeInParts(t *testing.T) {
+	value := bytes.Repeat([]byte("x"), maxObjects/2)
+	all := []platform.Object{
+		{Key: "groups/a", Version: 1, Value: value},
+		{Key: "groups/b", Version: 2, Value: value},
+		{Key: "groups/c", Version: 3, Value: value},
+		{Key: "groups/d", Version: 4},
+	}
+	newer := func(held []KeyVersion) []platform.Object {
+		var out []platform.Object
+		for _, o := range all {
+			has := false
+			for _, h := range held {
+				has = has || h.Key == o.Key && h.Version >= o.Version
+			}
+			if !has {
+				out = append(out, o)
+			}
+		}
+		return out
+	}
+	m := startMesh(t, "d1", clock.System(), Seams{Objects: newer})
+	c := newCaller(nil, clock.System(), 10*clock.Second)
+	got, err := c.objects(t.Context(), m.cfg.Address, []KeyVersion{{Key: "groups/b", Version: 2}})
+	if err != nil || len(got) != 3 {
+		t.Errorf("got %d objects, %v, want 3", len(got), err)
+	}
+}
+
+func TestStoppedMeshAnswersUnavailable(t *testing.T) {
+	m := New(Config{ID: "d1", Address: "127.0.0.1:1", Period: 50}, clock.System(), Seams{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_ = m.Run(ctx)
+	if err := m.Leave(t.Context()); !errors.Is(err, ErrStopped) {
+		t.Errorf("got %v, want %v", err, ErrStopped)
+	}
+	_, err := (&answerer{m: m}).Exchange(t.Context(), connect.NewRequest(&peerv1.ExchangeRequest{
+		Heartbeat: &peerv1.Heartbeat{Self: wireMember("d2", 1, peerv1.State_STATE_ALIVE)},
+	}))
+	if got := connect.CodeOf(err); got != connect.CodeUnavailable {
+		t.Errorf("got %v, want %v", err, connect.CodeUnavailable)
+	}
+}
