route: let a read wait briefly for a replica that is nearly there

Cause: after a write, or on a new connection that carries nothing, the floor is one replication lag ahead of every replica, so reads turned to the primary at once. Ruled out: fewer eligible replicas through load (busy was below the slots) and samples too seldom (probes run back to back under writes). Change: a read leaves the primary out for up to replica-wait (50 ms) if some replica was behind by no more than that, then turns to the primary as before.

--- a/internal/process/entry/daemon.go
+++ b/internal/process/entry/daemon.go
@@ -48,6 +48,8 @@
 	Period     clock.Millis // between two heartbeats
 	StoreFor   clock.Millis // for one call of the platform
 	Watchers   int          // of the platform, in each data centre
+	// ReplicaWait is how long a read may wait for a replica before it turns to the primary; 0 means not at all.
+	ReplicaWait clock.Millis
 }
 
 // Parts are what the daemon is joined to; Access may be left empty.
@@ -91,7 +93,7 @@
 		Period:     cfg.Period,
 		TLS:        p.Access.PeerTLS,
 	}, p.Clock, d.peerSeams())
-	d.router = &router{clk: p.Clock, loop: d.loop, targets: d.targets, policy: cfg.Policy, place: cfg.DataCentre, meter: d.meter}
+	d.router = &router{clk: p.Clock, loop: d.loop, targets: d.targets, policy: cfg.Policy, place: cfg.DataCentre, meter: d.meter, replicaWait: cfg.ReplicaWait}
 	d.server = caller.New(cfg.Callers, d.callerSeams())
 	return d
 }
--- a/internal/process/entry/defaults.go
+++ b/internal/process/entry/defaults.go
@@ -21,12 +21,13 @@
 			IdleTimeout: 60 * clock.Second,
 			Queue:       512,
 		},
-		Callers:  caller.Config{DataCentre: place, RequestTimeout: 10 * clock.Second, MaxConnections: 5000},
-		Probe:    probe.Settings{Interval: 100, Timeout: 250, Pause: probePause},
-		Machine:  group.DefaultSettings(),
-		Period:   250,
-		StoreFor: clock.Second,
-		Watchers: 2,
+		Callers:     caller.Config{DataCentre: place, RequestTimeout: 10 * clock.Second, MaxConnections: 5000},
+		Probe:       probe.Settings{Interval: 100, Timeout: 250, Pause: probePause},
+		Machine:     group.DefaultSettings(),
+		Period:      250,
+		StoreFor:    clock.Second,
+		Watchers:    2,
+		ReplicaWait: 50,
 	}
 }
 
@@ -42,6 +43,7 @@
 	cfg.Targets.DialTimeout = s.Targets.DialTimeout
 	cfg.Targets.IdleTimeout = s.Targets.IdleTimeout
 	cfg.Targets.Queue = s.Callers.Queue
+	cfg.ReplicaWait = s.Targets.ReplicaWait
 	cfg.Callers.MaxConnections = s.Callers.Connections
 	cfg.Callers.RequestTimeout = s.Callers.Deadline
 	cfg.Callers.DrainTimeout = s.Callers.Drain
--- a/internal/process/entry/router.go
+++ b/internal/process/entry/router.go
@@ -29,6 +29,8 @@
 	policy  Policy
 	place   group.DataCentre
 	meter   *meter
+	// replicaWait bounds how long a read waits for a replica.
+	replicaWait clock.Millis
 }
 
 // service returns what is published of a service.
@@ -80,19 +82,32 @@
 	if err := r.freshen(ctx, c, &n); err != nil {
 		return nil, err
 	}
+	patience := r.patience(c, n)
 	for {
 		view, changed := c.Load()
+		n.ReplicaOnly = r.clk.Now() < patience
 		choice := route.Choose(view, r.clk.Now(), n, rand.IntN)
 		lease, err := r.try(ctx, svc, view, n, choice)
 		if lease != nil || err != nil {
 			return lease, err
 		}
-		if err := r.wait(ctx, changed); err != nil {
+		if n.ReplicaOnly {
+			c.Watch().Kick()
+		}
+		if err := r.wait(ctx, changed, patience); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// patience is until when a read waits for a replica before it turns to the primary; 0 when that is not worth while.
+func (r *router) patience(c *control.Cell, n route.Need) clock.Millis {
+	if n.Request.Kind != service.Read || r.replicaWait == 0 || !route.WorthWaiting(c.View(), r.replicaWait) {
+		return 0
+	}
+	return r.clk.Now() + r.replicaWait
+}
+
 // freshen gives a read that states no age a sample asked after it arrived.
 func (r *router) freshen(ctx context.Context, c *control.Cell, n *route.Need) error {
 	if n.Request.Kind != service.Read || n.Request.MaxAge > 0 {
@@ -106,10 +121,14 @@
 	return nil
 }
 
-func (r *router) wait(ctx context.Context, changed <-chan struct{}) error {
+func (r *router) wait(ctx context.Context, changed <-chan struct{}, patience clock.Millis) error {
+	most := pollView
+	if left := patience - r.clk.Now(); left > 0 {
+		most = min(most, left)
+	}
 	select {
 	case <-changed:
-	case <-r.clk.After(pollView):
+	case <-r.clk.After(most):
 	case <-ctx.Done():
 		return refusal.NoPrimary("no target may serve the request before its deadline")
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -44,6 +44,7 @@
 	User        string       `ini:"user" default:"cactusfork"`
 	Warm        int          `ini:"warm-connections" default:"1" min:"0" max:"100"`
 	DialTimeout clock.Millis `ini:"dial-timeout" default:"1s" min:"10ms" max:"1m"`
+	ReplicaWait clock.Millis `ini:"replica-wait" default:"50ms" min:"0s" max:"10s"`
 	IdleTimeout clock.Millis `ini:"idle-timeout" default:"1m" min:"1s" max:"1h"`
 }
 
--- a/internal/request/route/choose.go
+++ b/internal/request/route/choose.go
@@ -44,7 +44,6 @@
 		return false
 	}
 	r := newReader(v, n.DataCentre, position.Max(n.Floor, proof))
-	r.replicas = n.ReplicaOnly
 	for i := range v.Targets {
 		if v.Targets[i].ID == id {
 			return r.class(i) != unfit
@@ -70,6 +69,7 @@
 		return Choice{Kind: Wait, Reason: ReasonNeedsSample}
 	}
 	r := newReader(v, n.DataCentre, position.Max(n.Floor, proof))
+	r.replicas = n.ReplicaOnly
 	i, c := r.choose(pick)
 	if c == unfit {
 		return Choice{Kind: Wait, Reason: ReasonLagging}
@@ -199,7 +199,7 @@
 
 // primaryClass needs no applied point: the primary of a term wrote every point of it and holds every acknowledged one of earlier terms.
 func (r *reader) primaryClass(t *TargetView) class {
-	if r.v.Changing || r.floor.Term > r.leader.term {
+	if r.replicas || r.v.Changing || r.floor.Term > r.leader.term {
 		return unfit
 	}
 	if t.Writes > 0 {
