--- a/internal/process/config/run.go
+++ b/internal/process/config/run.go
@@ -24,6 +24,7 @@
 	defer cancel()
 	work.Go(func() { h.spread(ctx) })
 	work.Go(func() { h.start(ctx) })
+	h.settle(ctx)
 	w := watch{h: h}
 	for ctx.Err() == nil {
 		w.step(ctx)
@@ -44,6 +45,13 @@
 	}
 }
 
+// settle gives the peers a moment to be known, so that daemons started together do not all ask the platform at once.
+func (h *Holder) settle(ctx context.Context) {
+	if len(h.seams.Live()) == 0 {
+		_ = h.clk.Sleep(ctx, clock.Millis(h.seams.Jitter()*float64(h.cfg.Backoff)))
+	}
+}
+
 // start asks peers until something is held, so that the daemon starts without the platform.
 func (h *Holder) start(ctx context.Context) {
 	for n := 0; h.Snapshot().Version() == 0; n++ {
