--- a/internal/request/limit/limiter.go
+++ b/internal/request/limit/limiter.go
@@ -9,8 +9,10 @@
 	ShrinkPause clock.Millis = 200
 	// HoldTime is how long the limit stays after a refusal before it grows again.
 	HoldTime = clock.Second
-	// GrowthPerSecond is how many slots the limit gains in a second, up to the share.
-	GrowthPerSecond = 4.0
+	// GrowthTime is how long the limit takes to gain a whole share.
+	GrowthTime = 2 * clock.Second
+	// MinGrowthPerSecond is how many slots the limit gains in a second at least, up to the share.
+	MinGrowthPerSecond = 4.0
 	// ProbeTime is how long one slot may be tried by a daemon that has none.
 	ProbeTime = clock.Second
 	// MinBackOff is the shortest pause between two tries.
@@ -94,7 +96,8 @@
 	if now <= l.grownAt {
 		return
 	}
-	l.limit += GrowthPerSecond * float64(now-l.grownAt) / float64(clock.Second)
+	perSecond := max(MinGrowthPerSecond, float64(l.share)*float64(clock.Second)/float64(GrowthTime))
+	l.limit += perSecond * float64(now-l.grownAt) / float64(clock.Second)
 	l.limit = min(l.limit, float64(l.share))
 	l.grownAt = now
 }
