command: refuse settings that serve would not keep

serve ignored certificate, key, authority and passwords files, so that an operator who named them ran without them. It now ends with status 2 and names the key.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -38,6 +38,9 @@
 	if err != nil {
 		return &badInput{err: err}
 	}
+	if err := refuseUnserved(file, set); err != nil {
+		return &badInput{err: err}
+	}
 	level, err := zapcore.ParseLevel(set.Log.Level)
 	if err != nil {
 		return &badInput{err: err}
