event: merge time lines and compute the users' figures

Two figures must stay comparable from month to month, so their rules are code with a hand-made file: the replicas' share of served reads, and the gap from the earliest doubt of a failed primary to the first write at the higher term.

--- /dev/null
+++ b/pkg/event/figures.go
@@ -0,0 +1,119 @@
+package event
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// Figures are what users judge the proxy by, by month.
+type Figures struct {
+	Requests []RequestFigures `json:"requests"`
+	Gaps     []GapFigures     `json:"failover-gaps"`
+}
+
+// RequestFigures are the requests of one service and kind in one month.
+type RequestFigures struct {
+	Month        string `json:"month"` // of UTC, as 2006-01
+	Service      string `json:"service"`
+	Kind         string `json:"kind"`
+	Served       int64  `json:"served"`
+	ReplicaReads int64  `json:"replica-reads"`
+	// ReplicaShare is ReplicaReads over Served, from 0 to 1; nil for writes and where nothing was served.
+	ReplicaShare *float64 `json:"replica-share"`
+	Refused      int64    `json:"refused"`
+	Unknown      int64    `json:"unknown"`
+}
+
+// GapFigures are the changes of primary after a failure of one group in one month.
+type GapFigures struct {
+	Month  string       `json:"month"` // of UTC, as 2006-01, of the first write
+	Group  string       `json:"group"`
+	Count  int          `json:"count"`
+	Median clock.Millis `json:"median-ms"`
+	Most   clock.Millis `json:"most-ms"`
+	Gaps   []Gap        `json:"gaps"`
+}
+
+// NewFigures computes the figures of merged events.
+func NewFigures(merged []Event) *Figures {
+	return &Figures{Requests: requestFigures(merged), Gaps: gapFigures(Gaps(merged))}
+}
+
+type requestKey struct{ month, service, kind string }
+
+func requestFigures(merged []Event) []RequestFigures {
+	sums := make(map[requestKey]*RequestFigures)
+	for i := range merged {
+		e := &merged[i]
+		if e.Kind != Counted || e.Counts == nil {
+			continue
+		}
+		key := requestKey{month: month(e.At.Millis), service: e.Service, kind: e.Counts.Kind}
+		f := sums[key]
+		if f == nil {
+			f = &RequestFigures{Month: key.month, Service: key.service, Kind: key.kind}
+			sums[key] = f
+		}
+		f.Served += e.Counts.Served
+		f.ReplicaReads += e.Counts.ReplicaReads
+		f.Refused += e.Counts.Refused
+		f.Unknown += e.Counts.Unknown
+	}
+	out := make([]RequestFigures, 0, len(sums))
+	for _, f := range sums {
+		f.share()
+		out = append(out, *f)
+	}
+	slices.SortFunc(out, func(a, b RequestFigures) int {
+		return cmp.Or(cmp.Compare(a.Month, b.Month), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Kind, b.Kind))
+	})
+	return out
+}
+
+// readKind is how counts name reads.
+const readKind = "read"
+
+func (f *RequestFigures) share() {
+	if f.Kind != readKind || f.Served == 0 {
+		return
+	}
+	share := float64(f.ReplicaReads) / float64(f.Served)
+	f.ReplicaShare = &share
+}
+
+func gapFigures(gaps []Gap) []GapFigures {
+	out := []GapFigures{}
+	for _, g := range gaps {
+		m := month(g.FirstWrite.Millis)
+		i := slices.IndexFunc(out, func(f GapFigures) bool { return f.Month == m && f.Group == g.Group })
+		if i < 0 {
+			out = append(out, GapFigures{Month: m, Group: g.Group})
+			i = len(out) - 1
+		}
+		out[i].Gaps = append(out[i].Gaps, g)
+	}
+	for i := range out {
+		out[i].sum()
+	}
+	slices.SortFunc(out, func(a, b GapFigures) int {
+		return cmp.Or(cmp.Compare(a.Month, b.Month), cmp.Compare(a.Group, b.Group))
+	})
+	return out
+}
+
+// sum sets count, median (the lower one of an even count) and most.
+func (f *GapFigures) sum() {
+	lengths := make([]clock.Millis, 0, len(f.Gaps))
+	for _, g := range f.Gaps {
+		lengths = append(lengths, g.Length)
+	}
+	slices.Sort(lengths)
+	f.Count = len(lengths)
+	f.Median = lengths[(len(lengths)-1)/2]
+	f.Most = lengths[len(lengths)-1]
+}
+
+func month(m clock.Millis) string { return time.UnixMilli(int64(m)).UTC().Format("2006-01") }
