publish, fleet: publish without overwriting and ask all daemons

An operator who loses a race must learn what the other changed, and a version counts as published only where it is in force.

--- /dev/null
+++ b/internal/process/fleet/ask.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/cactusfork/cactusfork/internal/process/entry"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/event"
+)
+
+const (
+	// askTimeout bounds one question to one daemon.
+	askTimeout = 2 * clock.Second
+	// maxAnswer bounds an answer, in bytes.
+	maxAnswer = 64 << 20
+)
+
+// Answer is what one daemon said of itself, or why it said nothing.
+type Answer struct {
+	Address string
+	Status  *entry.Status
+	Err     error
+}
+
+// Asker asks daemons over HTTP.
+type Asker struct {
+	HTTP *http.Client
+}
+
+// NewAsker returns an asker that goes to addresses directly, without a proxy of the environment.
+func NewAsker() *Asker {
+	return &Asker{HTTP: &http.Client{Transport: &http.Transport{}, Timeout: askTimeout.Duration()}}
+}
+
+// Statuses asks all addresses at once and returns their answers in the same order.
+func (a *Asker) Statuses(ctx context.Context, addresses []string) []Answer {
+	return each(addresses, func(address string) Answer {
+		s := &entry.Status{}
+		err := a.get(ctx, address, "/status", func(r io.Reader) error { return json.NewDecoder(r).Decode(s) })
+		if err != nil {
+			return Answer{Address: address, Err: err}
+		}
+		return Answer{Address: address, Status: s}
+	})
+}
+
+// Events are the kept events of one daemon, or why there are none.
+type Events struct {
+	Address string
+	Events  []event.Event
+	Err     error
+}
+
+// Events asks all addresses at once for the events that they keep.
+func (a *Asker) Events(ctx context.Context, addresses []string) []Events {
+	return each(addresses, func(address string) Events {
+		e := Events{Address: address}
+		e.Err = a.get(ctx, address, "/events", func(r io.Reader) error {
+			var err error
+			e.Events, err = event.Read(r)
+			return err
+		})
+		return e
+	})
+}
+
+func each[T any](addresses []string, ask func(address string) T) []T {
+	out := make([]T, len(addresses))
+	var wg sync.WaitGroup
+	for i, address := range addresses {
+		wg.Go(func() { out[i] = ask(address) })
+	}
+	wg.Wait()
+	return out
+}
+
+func (a *Asker) get(ctx context.Context, address, path string, read func(io.Reader) error) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return fmt.Errorf("ask %s: %w", address, err)
+	}
+	res, err := a.HTTP.Do(r)
+	if err != nil {
+		return fmt.Errorf("ask %s: %w", address, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("ask %s: status %d", address, res.StatusCode)
+	}
+	if err := read(io.LimitReader(res.Body, maxAnswer)); err != nil {
+		return fmt.Errorf("read answer of %s: %w", address, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/publish/doc.go
@@ -0,0 +1,2 @@
+// Package publish puts checked service files on the platform without overwriting what another operator published.
+package publish
