command: check, publish, status, timeline, token inspect and stand-ins

Operators had only serve and try. Each command tells what to do on an error; usage errors now end with 2, where a missing flag of a command ended with 1. A race through the command line and a lost answer are tested against the stand-in platform.

--- /dev/null
+++ b/internal/command/publish_test.go
@@ -0,0 +1,176 @@
+package command
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/internal/process/publish"
+	platformstand "github.com/cactusfork/cactusfork/internal/standin/platform"
+	"github.com/cactusfork/cactusfork/internal/version/service"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// serviceText is a service file whose one request has the weight.
+func serviceText(weight string) string {
+	return "[service]\nname = s\ngroup = g\n\n[request \"r\"]\nkind = read\nweight = " + weight + "\n"
+}
+
+func startPlatform(t *testing.T) (*platformstand.Server, *platform.Store) {
+	t.Helper()
+	s, err := platformstand.Start(t.Context(), platformstand.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, platform.Dial(platform.Config{URL: s.URL()}, clock.System())
+}
+
+// raced passes calls on to the platform and lets rival run before the first update.
+func raced(t *testing.T, to string, rival func()) string {
+	t.Helper()
+	u, err := url.Parse(to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	proxy := httputil.NewSingleHostReverseProxy(u)
+	var once sync.Once
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			once.Do(rival)
+		}
+		proxy.ServeHTTP(w, r)
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+func published(t *testing.T, s *platform.Store) int {
+	t.Helper()
+	o, err := s.Get(context.Background(), publish.KeyOf("s"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	svc, err := service.Decode(o.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return svc.Requests["r"].Weight
+}
+
+func TestPublishLosesARace(t *testing.T) {
+	server, store := startPlatform(t)
+	if status, _, stderr := run(t, "publish", "--platform", server.URL(), write(t, "s.ini", serviceText("1"))); status != 0 {
+		t.Fatal(stderr)
+	}
+	through := raced(t, server.URL(), func() {
+		if status, _, stderr := run(t, "publish", "--platform", server.URL(), write(t, "s.ini", serviceText("2"))); status != 0 {
+			t.Error(stderr)
+		}
+	})
+	status, _, stderr := run(t, "publish", "--platform", through, write(t, "s.ini", serviceText("3")))
+	if status != exitFailed {
+		t.Errorf("got status %d, want %d", status, exitFailed)
+	}
+	for _, want := range []string{"version 2 is published, you edited version 1", `request "r" weight: 1 -> 2`, "--if-version 2"} {
+		if !strings.Contains(stderr, want) {
+			t.Errorf("got %q, want %q in it", stderr, want)
+		}
+	}
+	if got, want := published(t, store), 2; got != want {
+		t.Errorf("got weight %d, want the winner's %d", got, want)
+	}
+}
+
+func TestPublishWithoutAnswer(t *testing.T) {
+	server, store := startPlatform(t)
+	server.LoseAnswers(1)
+	status, stdout, stderr := run(t, "publish", "--platform", server.URL(), write(t, "s.ini", serviceText("4")))
+	if status != 0 || !strings.Contains(stdout, "published version 1") {
+		t.Errorf("got %d, %s%s, want version 1", status, stdout, stderr)
+	}
+	if got, want := published(t, store), 4; got != want {
+		t.Errorf("got weight %d, want %d", got, want)
+	}
+	server.Down(true)
+	status, _, stderr = run(t, "publish", "--platform", server.URL(), write(t, "s.ini", serviceText("5")))
+	if status != exitFailed || !strings.Contains(stderr, "nothing was published") {
+		t.Errorf("got %d, %s, want %d and nothing published", status, stderr, exitFailed)
+	}
+}
+
+func TestPublishRefuses(t *testing.T) {
+	server, _ := startPlatform(t)
+	good, bad := write(t, "s.ini", serviceText("1")), write(t, "bad.ini", serviceText("0"))
+	tests := []struct {
+		name   string
+		args   []string
+		status int
+		want   string
+	}{
+		{"no file", nil, exitBadInput, "at least one service file"},
+		{"one of two bad", []string{good, bad}, exitBadInput, "bad.ini:7: [request \"r\"] weight"},
+		{"same service twice", []string{good, write(t, "again.ini", serviceText("2"))}, exitBadInput, "service s is in"},
+		{"version for two", []string{"--if-version", "1", good, bad + ".none"}, exitBadInput, "read service file"},
+		{"negative wait", []string{"--wait", "-1s", good}, exitBadInput, "want 0s or more"},
+		{"negative version", []string{"--if-version", "-2", good}, exitBadInput, "want 0 or more"},
+		{"version not there", []string{"--if-version", "9", good}, exitFailed, "version 0 is published, you edited version 9"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			status, _, stderr := run(t, append([]string{"publish", "--platform", server.URL()}, tt.args...)...)
+			if status != tt.status || !strings.Contains(stderr, tt.want) {
+				t.Errorf("got %d, %s, want %d and %q", status, stderr, tt.status, tt.want)
+			}
+		})
+	}
+	if puts := server.Calls().Puts; puts != 1 {
+		t.Errorf("got %d updates tried, want only the one of a version that is not there", puts)
+	}
+}
+
+func TestCommands(t *testing.T) {
+	events := write(t, "e.jsonl", `{"at":{"millis":1000,"counter":0,"daemon":"x"},"kind":"suspected","group":"g","target":"a","term":1}`+"\n")
+	torn := write(t, "torn.jsonl", `{"at":`+"\n")
+	good := write(t, "s.ini", serviceText("1"))
+	tests := []struct {
+		name           string
+		args           []string
+		status         int
+		stdout, stderr string
+	}{
+		{"good file", []string{"check", good}, 0, "service s of group g, requests: 1", ""},
+		{"two problems", []string{"check", write(t, "b.ini", "[service]\nname = S\n")}, exitBadInput, "", "b.ini:2: [service] name"},
+		{"no command", []string{"cheque"}, exitBadInput, "", "cheque"},
+		{"no flag", []string{"status"}, exitBadInput, "", "admin"},
+		{"unknown flag", []string{"check", "--colour"}, exitBadInput, "", "colour"},
+		{"status report", []string{"status", "--admin", "127.0.0.1:1", "--report", "xml"}, exitBadInput, "", "want table or json"},
+		{"text", []string{"timeline", "--file", events}, 0, "1970-01-01T00:00:01.000Z x suspected group=g target=a term=1\n", ""},
+		{"json", []string{"timeline", "--file", events, "--report", "json"}, 0, `"kind":"suspected"`, ""},
+		{"other group", []string{"timeline", "--file", events, "--group", "h"}, 0, "", ""},
+		{"since", []string{"timeline", "--file", events, "--since", "1970-01-01T00:00:01Z", "--until", "1970-01-01T00:00:02Z"}, 0, "suspected", ""},
+		{"bad since", []string{"timeline", "--file", events, "--since", "noon"}, exitBadInput, "", "want a time like"},
+		{"svg", []string{"timeline", "--file", events, "--report", "svg"}, 0, "</svg>", ""},
+		{"torn", []string{"timeline", "--file", events, "--file", torn}, exitFailed, "suspected", "line 1"},
+		{"no source", []string{"timeline"}, exitBadInput, "", "--file or --admin"},
+		{"no such file", []string{"timeline", "--file", torn + ".none"}, exitBadInput, "", "open time line"},
+		{"silent daemon", []string{"timeline", "--admin", "127.0.0.1:1"}, exitFailed, "", "not whole"},
+		{"figures", []string{"timeline", "--file", "../../pkg/event/testdata/figures.jsonl", "--report", "figures"}, 0, "2026-01  precios  read   10      5            50.0%", ""},
+		{"figures json", []string{"timeline", "--file", "../../pkg/event/testdata/figures.jsonl", "--report", "figures-json"}, 0, `"median-ms": 900`, ""},
+		{"daemons", []string{"stand-ins", "--dir", t.TempDir(), "--daemons", "0"}, exitBadInput, "", "want 1 to 9"},
+		{"completion", []string{"completion", "bash"}, 0, "cactusfork", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			status, stdout, stderr := run(t, tt.args...)
+			if status != tt.status || !strings.Contains(stdout, tt.stdout) || !strings.Contains(stderr, tt.stderr) {
+				t.Errorf("got %d, %s%s, want %d, %q, %q", status, stdout, stderr, tt.status, tt.stdout, tt.stderr)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/command/token.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/cactusfork/cactusfork/pkg/token"
+)
+
+func newToken(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:     "token",
+		Usage:    "look into session tokens",
+		Commands: []*cli.Command{newTokenInspect(stdout)},
+	}
+}
+
+func newTokenInspect(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "inspect",
+		Usage:     "check a token and show what it says",
+		ArgsUsage: "TOKEN",
+		Description: "Shows group, term and position only of a token whose check holds.\n\n" +
+			"Example: cactusfork token inspect --key-file token.key AQAAAAAAAAAB...",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "key-file", Required: true, Usage: "`FILE` with the key that daemons sign with"},
+			&cli.StringFlag{Name: "previous-key-file", Usage: "`FILE` with the key that was signed with before"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return &badInput{err: errors.New("name exactly one token")}
+			}
+			keys, err := loadTokenKeys(c.String("key-file"), c.String("previous-key-file"))
+			if err != nil {
+				return &badInput{err: err}
+			}
+			return inspect(keys, c.Args().First(), stdout)
+		},
+	}
+}
+
+func inspect(keys *token.Keys, text string, w io.Writer) error {
+	t, err := keys.Decode(text)
+	switch {
+	case errors.Is(err, token.ErrForged):
+		return fmt.Errorf("check fails: no given key signed this token; give the key file of the daemons that issued it: %w", err)
+	case errors.Is(err, token.ErrVersion):
+		return fmt.Errorf("check not made: this build does not know the format: %w", err)
+	case err != nil:
+		return fmt.Errorf("check not made: this is no whole token; copy all of it: %w", err)
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return fmt.Errorf("decode token: %w", err)
+	}
+	_, err = fmt.Fprintf(w, "check     holds\nversion   %d\ngroup     %s\nterm      %d\nposition  %d\n",
+		raw[0], t.Group, t.Point.Term, t.Point.Position)
+	return err
+}
--- /dev/null
+++ b/internal/process/standins/doc.go
@@ -0,0 +1,2 @@
+// Package standins serves a stand-in platform and group to daemons in processes of their own.
+package standins
--- /dev/null
+++ b/internal/process/standins/plan.go
@@ -0,0 +1,135 @@
+package standins
+
+import (
+	"crypto/rand"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+const (
+	// keySize is the length of the token key, in bytes.
+	keySize = 32
+	// KeyFile is the name of the token key's file.
+	KeyFile = "token.key"
+
+	// The first ports after the platform's.
+	targetPorts = 1
+	callerPorts = 11
+	peerPorts   = 21
+	adminPorts  = 31
+)
+
+// plan is which address each process has.
+type plan struct {
+	platform string
+	targets  []string
+	callers  []string
+	peers    []string
+	admins   []string
+}
+
+func newPlan(port, daemons int) (*plan, error) {
+	p := &plan{}
+	if port == 0 {
+		return p, p.free(daemons)
+	}
+	p.platform = address(port)
+	p.targets = addresses(port+targetPorts, members)
+	p.callers = addresses(port+callerPorts, daemons)
+	p.peers = addresses(port+peerPorts, daemons)
+	p.admins = addresses(port+adminPorts, daemons)
+	return p, nil
+}
+
+func addresses(first, n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, address(first+i))
+	}
+	return out
+}
+
+// free takes ports that nobody listens on; those of daemons are given back until the daemons start.
+func (p *plan) free(daemons int) error {
+	var held []net.Listener
+	defer func() {
+		for _, l := range held {
+			_ = l.Close()
+		}
+	}()
+	p.platform = "127.0.0.1:0"
+	for range members {
+		p.targets = append(p.targets, "127.0.0.1:0")
+	}
+	for range daemons {
+		for _, list := range []*[]string{&p.callers, &p.peers, &p.admins} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return fmt.Errorf("find free port: %w", err)
+			}
+			held = append(held, l)
+			*list = append(*list, l.Addr().String())
+		}
+	}
+	return nil
+}
+
+// write puts settings and key into the directory.
+func (p *plan) write(dir, url string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("make directory: %w", err)
+	}
+	key := make([]byte, keySize)
+	if _, err := rand.Read(key); err != nil {
+		return fmt.Errorf("draw token key: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, KeyFile), key, 0o600); err != nil {
+		return fmt.Errorf("write token key: %w", err)
+	}
+	for i := range p.callers {
+		if err := os.WriteFile(p.file(dir, i), []byte(p.settings(dir, url, i)), 0o644); err != nil {
+			return fmt.Errorf("write settings: %w", err)
+		}
+	}
+	return nil
+}
+
+func (p *plan) file(dir string, i int) string {
+	return filepath.Join(dir, fmt.Sprintf("entry-%d.ini", i+1))
+}
+
+func (p *plan) settings(dir, url string, i int) string {
+	var b strings.Builder
+	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	line("[daemon]")
+	line("id = entry-%d", i+1)
+	line("data-centre = %s", dataCentres[i%len(dataCentres)])
+	line("caller-address = %s", p.callers[i])
+	line("peer-address = %s", p.peers[i])
+	line("admin-address = %s", p.admins[i])
+	line("\n[callers]")
+	line("authenticate = false")
+	line("token-key-file = %s", filepath.Join(dir, KeyFile))
+	line("\n[platform]")
+	line("url = %s", url)
+	line("\n[peers]")
+	line("seeds = %s", strings.Join(p.peers, ", "))
+	line("\n[log]")
+	line("timeline-file = %s", filepath.Join(dir, fmt.Sprintf("entry-%d.jsonl", i+1)))
+	return b.String()
+}
+
+// tell says how to run daemons and reach them.
+func (p *plan) tell(dir, url string, say func(string)) {
+	say("platform: " + url)
+	say("run each in a terminal of its own:")
+	for i := range p.callers {
+		say("  cactusfork serve --settings " + p.file(dir, i))
+	}
+	say("callers: " + strings.Join(p.callers, " ") + " (user precios, database precios, no password)")
+	say("admin: " + strings.Join(p.admins, ","))
+	say("serving until interrupted")
+}
