standin: restart on the old port and find due records on a moving clock

A restart failed now and then with the port in use, as a crash did not wait for its listener to close; the port could also be given away while the target was down. A record could stay unapplied when a manual clock moved between reading it and setting the timer. The crash waits now and keeps the port reserved; the timer is checked again once set.

--- a/internal/standin/target/harness_test.go
+++ b/internal/standin/target/harness_test.go
@@ -41,7 +41,7 @@
 
 func dial(ctx context.Context, t *testing.T, tg *Target) *pgx.Conn {
 	t.Helper()
-	c, err := pgx.Connect(ctx, "postgres://caller@"+tg.Address()+"/precios?sslmode=prefer")
+	c, err := connect(ctx, tg)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,6 +49,10 @@
 	return c
 }
 
+func connect(ctx context.Context, tg *Target) (*pgx.Conn, error) {
+	return pgx.Connect(ctx, "postgres://caller@"+tg.Address()+"/precios?sslmode=prefer")
+}
+
 func mustExec(ctx context.Context, t *testing.T, c *pgx.Conn, sql string, args ...any) {
 	t.Helper()
 	if _, err := c.Exec(ctx, sql, args...); err != nil {
@@ -95,13 +99,21 @@
 // eventually waits for ok; the test fails only when the whole run's time is over.
 func eventually(ctx context.Context, t *testing.T, ok func() bool) {
 	t.Helper()
+	if !poll(ctx, ok) {
+		t.Fatal(ctx.Err())
+	}
+}
+
+// poll waits for ok and reports whether it came before the end of ctx.
+func poll(ctx context.Context, ok func() bool) bool {
 	for !ok() {
 		select {
 		case <-ctx.Done():
-			t.Fatal(ctx.Err())
+			return false
 		case <-time.After(time.Millisecond):
 		}
 	}
+	return true
 }
 
 func wantRows(ctx context.Context, t *testing.T, tg *Target, sql string, want ...[]string) {
--- a/internal/standin/target/log.go
+++ b/internal/standin/target/log.go
@@ -129,16 +129,17 @@
 func (t *Target) apply(ctx context.Context) {
 	for {
 		wait, changed, due := t.nextDue()
+		var timer <-chan struct{}
+		if wait > 0 {
+			timer = t.n.clk.After(wait)
+			_, _, due = t.nextDue() // the clock may have moved before the timer was set
+		}
 		if due {
 			if err := t.applyNext(ctx); err != nil && ctx.Err() != nil {
 				return
 			}
 			continue
 		}
-		var timer <-chan struct{}
-		if wait > 0 {
-			timer = t.n.clk.After(wait)
-		}
 		select {
 		case <-changed:
 		case <-timer:
--- a/internal/standin/target/replication_test.go
+++ b/internal/standin/target/replication_test.go
@@ -191,6 +191,7 @@
 	mustExec(ctx, t, c, "BEGIN")
 	mustExec(ctx, t, c, "INSERT INTO item (id) VALUES (3)")
 	tg[0].Crash()
+	tg[0].Crash()
 	n.Heal()
 	if _, err := pgx.Connect(ctx, "postgres://caller@"+tg[0].Address()+"/x"); err == nil {
 		t.Error("got a session on a crashed target, want none")
@@ -293,7 +294,7 @@
 	}
 }
 
-func TestReadsGoOnBesideOthersButNotPastWriters(t *testing.T) {
+func TestReadWaitsForWriterUntilTimeout(t *testing.T) {
 	clk := clock.NewManual(0)
 	ctx, _, tg := setUp(t, &clk.Clock, Config{})
 	writer, reader := dial(ctx, t, tg[0]), dial(ctx, t, tg[0])
--- /dev/null
+++ b/internal/standin/target/reserve.go
@@ -0,0 +1,29 @@
+package target
+
+import (
+	"fmt"
+	"net/netip"
+	"syscall"
+)
+
+// reserve keeps the port of a closed listener from being given away, while connections to it are refused.
+func reserve(address string) (release func(), err error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil || !at.Addr().Is4() {
+		return func() {}, err
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return func() {}, fmt.Errorf("open socket: %w", err)
+	}
+	release = func() { _ = syscall.Close(fd) }
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		release()
+		return func() {}, fmt.Errorf("share port: %w", err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()}); err != nil {
+		release()
+		return func() {}, fmt.Errorf("bind port: %w", err)
+	}
+	return release, nil
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -42,6 +42,7 @@
 
 	// The fields below are guarded by the network's mu.
 	stop      context.CancelFunc
+	release   func() // gives back the port that a crash has reserved
 	done      *sync.WaitGroup
 	sessions  map[*session]bool
 	lastPID   uint32
@@ -82,6 +83,7 @@
 		dbLock:   make(chan struct{}, 1),
 		changed:  make(chan struct{}),
 		sessions: make(map[*session]bool),
+		release:  func() {},
 	}, nil
 }
 
@@ -101,9 +103,14 @@
 	t.address = l.Addr().String()
 	t.stop, t.done = stop, done
 	t.up = true
+	t.release()
+	t.release = func() {}
 	t.n.connect()
 	t.n.mu.Unlock()
-	context.AfterFunc(run, func() { _ = l.Close() })
+	done.Go(func() {
+		<-run.Done()
+		_ = l.Close()
+	})
 	done.Go(func() { t.apply(run) })
 	done.Go(func() { t.accept(run, l, done) })
 	return nil
@@ -134,25 +141,42 @@
 
 // Crash ends the listener and all sessions at once and keeps what a disk would: log, role and settings.
 func (t *Target) Crash() {
+	if !t.halt() {
+		return
+	}
+	t.setPaused(false)
+	release, err := reserve(t.Address())
+	if err != nil {
+		return // only a restart needs the port, and says so
+	}
+	t.n.mu.Lock()
+	defer t.n.mu.Unlock()
+	t.release = release
+}
+
+// halt ends the run of the target and reports whether it was up.
+func (t *Target) halt() bool {
 	t.n.mu.Lock()
-	stop, done := t.stop, t.done
+	up, stop, done := t.up, t.stop, t.done
 	t.up = false
 	t.promoting = false
 	t.n.connect()
 	t.n.mu.Unlock()
 	stop()
 	done.Wait()
-	t.setPaused(false)
+	return up
 }
 
 // shutDown ends the target for good.
 func (t *Target) shutDown() {
-	t.Crash()
+	t.halt()
 	t.dbLock <- struct{}{}
 	defer t.unlockDatabase()
 	t.n.mu.Lock()
 	defer t.n.mu.Unlock()
 	t.failure = errEnded
+	t.release()
+	t.release = func() {}
 	_ = t.db.close()
 }
 
@@ -160,13 +184,13 @@
 func (t *Target) Restart(ctx context.Context) error {
 	t.n.mu.Lock()
 	up := t.up
+	if !up {
+		t.reload(nil)
+	}
 	t.n.mu.Unlock()
 	if up {
 		return fmt.Errorf("restart %s: still up", t.cfg.ID)
 	}
-	t.n.mu.Lock()
-	t.reload(nil)
-	t.n.mu.Unlock()
 	if err := t.start(ctx); err != nil {
 		return fmt.Errorf("restart %s: %w", t.cfg.ID, err)
 	}
