event: give every event room in a drawing

In a drawing to scale the half second of a change took a tenth of the width. Pauses over 200 ms are now shortened and each event has its own place.

--- a/pkg/event/draw.go
+++ b/pkg/event/draw.go
@@ -12,7 +12,6 @@
 
 // The sizes of a drawing, in pixels.
 const (
-	drawWidth  = 1400
 	drawLeft   = 130
 	drawRight  = 170
 	drawTop    = 60
@@ -20,7 +19,17 @@
 	labelStep  = 14
 	labelRows  = 8
 	axisHeight = 30
-	tickCount  = 8
+	plotWidth  = 1100 // at least
+	markWidth  = 24   // at least, for each event
+)
+
+const (
+	// fullPause is the longest pause between two events that is drawn to scale, in milliseconds.
+	fullPause clock.Millis = 200
+	// pauseScale is how many milliseconds of pause take as much room as an event.
+	pauseScale clock.Millis = 20
+	// ticks is the number of instants written below the lanes, besides the last.
+	ticks = 10
 )
 
 // MaxMarks is the most events that Draw takes.
@@ -33,12 +42,13 @@
 type drawing struct {
 	events []Event
 	lanes  []string
-	start  clock.Millis
-	end    clock.Millis
-	b      strings.Builder
+	// room is how far each event stands from the first.
+	room  []float64
+	width int
+	b     strings.Builder
 }
 
-// Draw writes merged events as SVG, one lane a daemon with time to the right; it fails with ErrTooManyMarks.
+// Draw writes merged events as SVG, one lane a daemon with time to the right and long pauses shortened; it fails with ErrTooManyMarks.
 func Draw(w io.Writer, title string, merged []Event) error {
 	if len(merged) > MaxMarks {
 		return fmt.Errorf("draw %d events: %w", len(merged), ErrTooManyMarks)
@@ -64,9 +74,14 @@
 	}
 	slices.Sort(d.lanes)
 	d.lanes = slices.Compact(d.lanes)
-	if len(merged) > 0 {
-		d.start = merged[0].At.Millis
-		d.end = merged[len(merged)-1].At.Millis
+	d.width = max(plotWidth, markWidth*len(merged))
+	far := 0.0
+	for i := range merged {
+		if i > 0 {
+			pause := min(merged[i].At.Millis-merged[i-1].At.Millis, fullPause)
+			far += 1 + float64(pause)/float64(pauseScale)
+		}
+		d.room = append(d.room, far)
 	}
 	return d
 }
@@ -74,26 +89,33 @@
 func (d *drawing) height() int { return drawTop + len(d.lanes)*laneHeight + axisHeight }
 
 func (d *drawing) open(title string) {
-	fmt.Fprintf(&d.b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="11">`+"\n", drawWidth, d.height())
-	fmt.Fprintf(&d.b, `<rect width="%d" height="%d" fill="white"/>`+"\n", drawWidth, d.height())
+	fmt.Fprintf(&d.b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="11">`+"\n", drawLeft+d.width+drawRight, d.height())
+	fmt.Fprintf(&d.b, `<rect width="%d" height="%d" fill="white"/>`+"\n", drawLeft+d.width+drawRight, d.height())
 	d.text(10, 20, 15, title)
-	d.text(10, 40, 11, "from "+timeText(d.start)+", one lane a daemon")
+	if len(d.events) > 0 {
+		d.text(10, 40, 11, fmt.Sprintf("from %s, one lane a daemon, pauses over %d ms shortened", timeText(d.events[0].At.Millis), fullPause))
+	}
 }
 
 func (d *drawing) text(x, y, size int, s string) {
 	fmt.Fprintf(&d.b, `<text x="%d" y="%d" font-size="%d">%s</text>`+"\n", x, y, size, html.EscapeString(s))
 }
 
-// x is where an instant stands.
-func (d *drawing) x(at clock.Millis) int {
-	span := max(int64(d.end-d.start), 1)
-	return drawLeft + int(int64(at-d.start)*int64(drawWidth-drawLeft-drawRight)/span)
+// x is where event i stands.
+func (d *drawing) x(i int) int {
+	all := max(d.room[len(d.room)-1], 1)
+	return drawLeft + int(d.room[i]/all*float64(d.width))
+}
+
+// at is the event with that stamp.
+func (d *drawing) at(s Stamp) int {
+	return slices.IndexFunc(d.events, func(e Event) bool { return e.At == s })
 }
 
 // gaps shades the time of each gap.
 func (d *drawing) gaps() {
 	for _, g := range Gaps(d.events) {
-		x, end := d.x(g.Began.Millis), d.x(g.FirstWrite.Millis)
+		x, end := d.x(d.at(g.Began)), d.x(d.at(g.FirstWrite))
 		fmt.Fprintf(&d.b, `<rect class="gap" x="%d" y="%d" width="%d" height="%d" fill="#fde8e8"/>`+"\n", x, drawTop, end-x, len(d.lanes)*laneHeight)
 		d.text(x, drawTop-4, 11, fmt.Sprintf("%s without writes for %d ms", g.Group, g.Length))
 	}
@@ -101,30 +123,31 @@
 
 func (d *drawing) axis() {
 	y := drawTop + len(d.lanes)*laneHeight + axisHeight/2
-	for i := range tickCount + 1 {
-		at := (d.end - d.start) * clock.Millis(i) / tickCount
-		x := d.x(d.start + at)
+	step := max(len(d.events)/ticks, 1)
+	for i := 0; i < len(d.events); i += step {
+		x := d.x(i)
 		fmt.Fprintf(&d.b, `<line x1="%d" y1="%d" x2="%d" y2="%d" stroke="#eee"/>`+"\n", x, drawTop, x, y-12)
-		d.text(x, y, 10, fmt.Sprintf("+%d ms", at))
+		d.text(x, y, 10, fmt.Sprintf("+%d ms", d.events[i].At.Millis-d.events[0].At.Millis))
 	}
 }
 
 func (d *drawing) lane(i int, name string) {
 	y := drawTop + (i+1)*laneHeight - 15
 	d.text(10, y+4, 13, name)
-	fmt.Fprintf(&d.b, `<line x1="%d" y1="%d" x2="%d" y2="%d" stroke="#888"/>`+"\n", drawLeft, y, drawWidth-drawRight, y)
+	fmt.Fprintf(&d.b, `<line x1="%d" y1="%d" x2="%d" y2="%d" stroke="#888"/>`+"\n", drawLeft, y, drawLeft+d.width, y)
 	row := 0
 	for j := range d.events {
 		if d.events[j].At.Daemon == name {
-			d.mark(&d.events[j], y, row)
+			d.mark(j, y, row)
 			row = (row + 1) % labelRows
 		}
 	}
 }
 
 // mark draws an event with its label; rows keep neighbours' labels apart.
-func (d *drawing) mark(e *Event, y, row int) {
-	x, up := d.x(e.At.Millis), y-10-row*labelStep
+func (d *drawing) mark(i, y, row int) {
+	e := &d.events[i]
+	x, up := d.x(i), y-10-row*labelStep
 	fmt.Fprintf(&d.b, `<line x1="%d" y1="%d" x2="%d" y2="%d" stroke="#ccc"/>`+"\n", x, y, x, up)
 	fmt.Fprintf(&d.b, `<circle class="mark" cx="%d" cy="%d" r="4" fill="%s"><title>%s</title></circle>`+"\n", x, y, colour(e.Kind), html.EscapeString(e.String()))
 	d.text(x+3, up, 11, label(e))
