--- a/internal/connection/caller/session_test.go
+++ b/internal/connection/caller/session_test.go
@@ -167,6 +167,12 @@
 			"CommandComplete ReadyForQueryT CommandComplete ReadyForQueryT ErrorResponse0A000 ReadyForQueryE ErrorResponse25P02 ReadyForQueryE " +
 				"CommandComplete ReadyForQueryI CommandComplete ReadyForQueryI",
 		},
+		{
+			"rollback to behind set",
+			[]pgproto3.FrontendMessage{query("begin"), query("savepoint a"), query("set a = 1"), query("rollback to a"), query("rollback")},
+			"CommandComplete ReadyForQueryT CommandComplete ReadyForQueryT CommandComplete ReadyForQueryT " +
+				"ErrorResponse0A000 ReadyForQueryE CommandComplete ReadyForQueryI",
+		},
 		{
 			"unknown message",
 			[]pgproto3.FrontendMessage{&pgproto3.PasswordMessage{Password: "x"}},
@@ -218,3 +224,21 @@
 		}
 	}
 }
+
+// TestNamedBehindBegin routes a transaction by the name of its statement, also when both come in one pipeline.
+func TestNamedBehindBegin(t *testing.T) {
+	h := newHarness(t)
+	r := h.raw(t)
+	r.send(
+		&pgproto3.Parse{Query: "begin"}, &pgproto3.Bind{}, &pgproto3.Execute{},
+		&pgproto3.Parse{Query: readSQL}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{},
+		&pgproto3.Query{String: "commit"},
+	)
+	want := "ParseComplete BindComplete CommandComplete ParseComplete BindComplete DataRow CommandComplete ReadyForQueryT CommandComplete ReadyForQueryI"
+	if got := r.read(len(strings.Fields(want))); got != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+	if got := h.replicas[0].ran("item.read"); got != 1 {
+		t.Errorf("got %d reads at the replica, want 1", got)
+	}
+}
--- a/internal/connection/target/order.go
+++ b/internal/connection/target/order.go
@@ -47,6 +47,13 @@
 	if locked.outranks(o) {
 		return locked.status, &ErrOutranked{Promise: locked.status.Promise, Holder: locked.status.Holder}
 	}
+	if locked.mustStepDown(o) {
+		down, err := followStatement(o.Primary)
+		if err != nil {
+			return group.Status{}, err
+		}
+		statements = append([]string{down, Reload}, statements...)
+	}
 	for _, sql := range statements {
 		c.Send(&pgproto3.Query{String: sql})
 	}
@@ -97,6 +104,11 @@
 	return s.Holder != o.Holder
 }
 
+// mustStepDown reports whether a target that still is primary of an earlier term is to be promoted: a server that is primary ignores a promotion.
+func (h held) mustStepDown(o group.Order) bool {
+	return o.Kind == group.Promote && h.status.Primary && h.status.Received.Term < o.Term
+}
+
 // lock takes the lock and reads the status under it, in one round trip.
 func (c *Conn) lock() (held, error) {
 	for _, sql := range []string{LockTimeout, LockQuery, StatusQuery} {
--- a/internal/connection/target/order_test.go
+++ b/internal/connection/target/order_test.go
@@ -131,3 +131,29 @@
 		t.Errorf("got %v and then %v, want a primary that moves on", before, after)
 	}
 }
+
+func TestPromoteTakesAPrimaryIntoANewTerm(t *testing.T) {
+	all := network(t)
+	a := all["a"]
+	before := a.Status().Received
+	self := group.Target{ID: "a", Address: a.Address()}
+	fence := group.Order{Kind: group.Fence, Term: 2, Holder: "d"}
+	if _, err := dial(t, a).Order(context.Background(), fence); err != nil {
+		t.Fatal(err)
+	}
+	promote := group.Order{Kind: group.Promote, Term: 2, Holder: "d", Primary: self}
+	if _, err := dial(t, a).Order(context.Background(), promote); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, a, func(s group.Status) bool { return s.Primary && s.Received.Term == 2 })
+	if got, want := a.Status().Received.Position, before.Position; got <= want {
+		t.Errorf("got position %d, want past %d", got, want)
+	}
+	rows, err := a.Rows(context.Background(), "select count(*) from item")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := rows[0][0], "0"; got != want {
+		t.Errorf("got %s rows, want %s in the table that was kept", got, want)
+	}
+}
