--- a/internal/trial/report.go
+++ b/internal/trial/report.go
@@ -35,6 +35,7 @@
 	Refused            int           `json:"refused"`
 	Failed             int           `json:"failed"`
 	FailoverGap        *clock.Millis `json:"failover-gap-ms"`
+	Parts              *Parts        `json:"failover-parts-ms"`
 	RequestsAsked      int64         `json:"requests-asked"`
 	RequestsSent       int64         `json:"requests-sent"`
 	PlatformCalls      uint64        `json:"platform-calls"`
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 
 	"go.uber.org/zap"
 
@@ -60,6 +61,7 @@
 	r.tally(h)
 	if s.cfg.Fault.primaryFails() {
 		r.FailoverGap = gap(h, began)
+		r.Parts = s.parts(began)
 	}
 	for _, e := range s.Events {
 		r.count(e.Events())
@@ -117,7 +119,7 @@
 // final reads the rows of the leading primary once a majority holds its log.
 func (s *Stage) final(ctx context.Context) ([]Row, error) {
 	if err := s.await(ctx, "a primary with a majority", s.settled); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %s", err, s.describe())
 	}
 	rows, err := s.primary().Rows(ctx, "SELECT id, lot FROM quotes")
 	if err != nil {
@@ -133,6 +135,15 @@
 	return out, nil
 }
 
+// describe tells what each target says of itself, for errors.
+func (s *Stage) describe() string {
+	var b strings.Builder
+	for _, t := range s.Targets {
+		fmt.Fprintf(&b, "%s %+v; ", t.ID(), t.Status())
+	}
+	return b.String()
+}
+
 func (s *Stage) settled() bool {
 	p := s.primary()
 	top := p.Status().Received
