--- a/internal/standin/target/log.go
+++ b/internal/standin/target/log.go
@@ -1,9 +1,7 @@
 package target
 
 import (
-	"context"
 	"database/sql/driver"
-	"fmt"
 
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/pkg/position"
@@ -12,8 +10,6 @@
 const (
 	recordBytes   = 32 // of a record without statements
 	argumentBytes = 8  // of an argument that is no text
-
-	lockTimeout = 5 * clock.Second // of waiting for another transaction
 )
 
 // logged is one statement of a record.
@@ -124,141 +120,3 @@
 		}
 	}
 }
-
-// apply replays the log until ctx ends, each record once it is due.
-func (t *Target) apply(ctx context.Context) {
-	for {
-		wait, changed, due := t.nextDue()
-		var timer <-chan struct{}
-		if wait > 0 {
-			timer = t.n.clk.After(wait)
-			_, _, due = t.nextDue() // the clock may have moved before the timer was set
-		}
-		if due {
-			if err := t.applyNext(ctx); err != nil && ctx.Err() != nil {
-				return
-			}
-			continue
-		}
-		select {
-		case <-changed:
-		case <-timer:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// nextDue says whether there is something to apply now, or how long to wait; 0 is until a change.
-func (t *Target) nextDue() (wait clock.Millis, changed <-chan struct{}, due bool) {
-	t.n.mu.Lock()
-	defer t.n.mu.Unlock()
-	switch {
-	case !t.working() || t.failure != nil:
-		return 0, t.changed, false
-	case t.rewind || t.promoting:
-		return 0, t.changed, true
-	case t.applied == len(t.log):
-		return 0, t.changed, false
-	}
-	wait = t.log[t.applied].at + t.lag - t.n.clk.Now()
-	return wait, t.changed, wait <= 0
-}
-
-// applyNext replays one record, or ends a promotion when none is left.
-func (t *Target) applyNext(ctx context.Context) error {
-	if err := t.lockDatabase(ctx); err != nil {
-		return err
-	}
-	defer t.unlockDatabase()
-	t.n.mu.Lock()
-	defer t.n.mu.Unlock()
-	if !t.working() {
-		return nil
-	}
-	if t.applied < len(t.log) {
-		return t.replay()
-	}
-	if t.promoting {
-		t.becomePrimary()
-	}
-	return nil
-}
-
-// applyAll replays everything that was received, whatever the lag.
-func (t *Target) applyAll(ctx context.Context) error {
-	if err := t.lockDatabase(ctx); err != nil {
-		return err
-	}
-	defer t.unlockDatabase()
-	t.n.mu.Lock()
-	defer t.n.mu.Unlock()
-	for t.applied < len(t.log) {
-		if err := t.replay(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// replay applies the next record; the caller holds the database and mu.
-func (t *Target) replay() error {
-	if err := t.db.replay(t.log[t.applied].record); err != nil {
-		t.failure = fmt.Errorf("replay %s: %w", t.log[t.applied].point, err)
-		return t.failure
-	}
-	t.applied++
-	return nil
-}
-
-// lockDatabase takes the database for one statement or transaction and rewinds it first where that is due.
-func (t *Target) lockDatabase(ctx context.Context) error {
-	select {
-	case t.dbLock <- struct{}{}:
-	default:
-		if err := t.waitForDatabase(ctx); err != nil {
-			return err
-		}
-	}
-	t.n.mu.Lock()
-	defer t.n.mu.Unlock()
-	if t.rewind && t.failure == nil {
-		t.rebuild()
-	}
-	if t.failure != nil {
-		t.unlockDatabase()
-		return t.failure
-	}
-	return nil
-}
-
-func (t *Target) waitForDatabase(ctx context.Context) error {
-	select {
-	case t.dbLock <- struct{}{}:
-		return nil
-	case <-t.n.clk.After(lockTimeout):
-		return fail(codeLockNotAvailable, lockWaitedTooLong)
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-func (t *Target) unlockDatabase() { <-t.dbLock }
-
-// rebuild replays the log into a new database; the caller holds the old one and mu.
-func (t *Target) rebuild() {
-	old := t.db
-	db, err := openDatabase(old.ctx)
-	if err != nil {
-		t.failure = fmt.Errorf("rewind: %w", err)
-		return
-	}
-	t.db, t.rewind = db, false
-	_ = old.close()
-	applied := t.applied
-	for t.applied = 0; t.applied < applied; {
-		if t.replay() != nil {
-			return
-		}
-	}
-}
