peer: bound demands and let changed states go first

Cause: a daemon with very many targets was refused as a sender, a full exchange could outgrow a message, and changes of demand could hold back news of a death. Change: demands are cut off at a bound per member and per heartbeat, a changed demand is told after changed states; idle connections close; mutual TLS is tested; an unused field of a probe is gone.

--- a/internal/process/peer/beat.go
+++ b/internal/process/peer/beat.go
@@ -32,6 +32,7 @@
 	if e, ok := t.entries[to]; ok && e.State != Alive {
 		b.Members = append(b.Members, *e)
 	}
+	bound(b.Members)
 	return b
 }
 
--- a/internal/process/peer/caller.go
+++ b/internal/process/peer/caller.go
@@ -30,6 +30,8 @@
 	maxFarewells = 8
 	// maxIdle is the number of connections kept open to peers.
 	maxIdle = 128
+	// idleTimeout closes a connection that no call has used for so long.
+	idleTimeout = 90 * clock.Second
 )
 
 // caller asks peers; each call ends with its context or after the timeout.
@@ -46,9 +48,10 @@
 		c.scheme = "https://"
 	}
 	c.http = &http.Client{Transport: &http.Transport{
-		TLSClientConfig:     conf,
+		TLSClientConfig:     conf.Clone(),
 		MaxIdleConns:        maxIdle,
 		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     idleTimeout.Duration(),
 	}}
 	return c
 }
@@ -82,11 +85,11 @@
 	return resp.Msg.GetHeartbeat(), nil
 }
 
-func (c *caller) probe(ctx context.Context, address string, about Probe) (bool, error) {
+func (c *caller) probe(ctx context.Context, address string, id group.DaemonID) (bool, error) {
 	// The helper itself waits for a timeout.
 	ctx, cancel := within(ctx, c.clk, 2*c.timeout)
 	defer cancel()
-	req := &peerv1.ProbeRequest{Id: string(about.ID), Address: about.Address}
+	req := &peerv1.ProbeRequest{Id: string(id)}
 	resp, err := c.peer(address).Probe(ctx, connect.NewRequest(req))
 	if err != nil {
 		return false, fmt.Errorf("probe through %s: %w", address, err)
--- a/internal/process/peer/contract_test.go
+++ b/internal/process/peer/contract_test.go
@@ -3,13 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cactusfork/cactusfork/internal/process/peer/peerv1"
 	"github.com/cactusfork/cactusfork/internal/process/platform"
@@ -166,6 +169,56 @@
 	}
 }
 
+func TestMutualTLS(t *testing.T) {
+	m := New(Config{ID: "d1", Address: "127.0.0.1:1", Period: 50}, clock.System(), Seams{})
+	mux := http.NewServeMux()
+	mux.Handle(m.Handler())
+	server := httptest.NewUnstartedServer(mux)
+	server.TLS = &tls.Config{ClientAuth: tls.RequireAnyClientCert}
+	server.StartTLS()
+	defer server.Close()
+	trust := server.Client().Transport.(*http.Transport).TLSClientConfig
+	with := trust.Clone()
+	with.Certificates = server.TLS.Certificates
+	for _, tt := range []struct {
+		name string
+		conf *tls.Config
+		ok   bool
+	}{{"certificate", with, true}, {"no certificate", trust, false}, {"cleartext", nil, false}} {
+		c := newCaller(tt.conf, clock.System(), 10*clock.Second)
+		_, err := c.view(t.Context(), server.Listener.Addr().String(), "g", "t")
+		c.http.CloseIdleConnections()
+		if (err == nil) != tt.ok {
+			t.Errorf("%s: got %v, want ok %t", tt.name, err, tt.ok)
+		}
+	}
+}
+
+func TestDemandsAreBounded(t *testing.T) {
+	many := make([]Demand, maxDemand+1)
+	for i := range many {
+		many[i] = Demand{Group: "precios-db-1", Target: group.TargetID(fmt.Sprint("target-", i)), Statements: i}
+	}
+	table := testTable()
+	table.SetDemand(many)
+	for i := range 20 {
+		e := entry(group.DaemonID(fmt.Sprint("d", i+1)), 1, Alive)
+		e.Demand, e.Sequence = many[:maxDemand], 1
+		table.Merge(0, []Entry{e})
+	}
+	for _, all := range []bool{false, true} {
+		out := beat{Beat: table.Beat(0, "d1", all)}.out()
+		if !sane(out.GetSelf()) || proto.Size(out) > maxMessage {
+			t.Errorf("all %t: got %d bytes, sane %t", all, proto.Size(out), sane(out.GetSelf()))
+		}
+		for _, m := range out.GetMembers() {
+			if known := m.GetDemandSequence() != 0; known != (len(m.GetDemand()) > 0) {
+				t.Errorf("%s: got sequence %d with %d demands", m.GetId(), m.GetDemandSequence(), len(m.GetDemand()))
+			}
+		}
+	}
+}
+
 func TestStoppedMeshAnswersUnavailable(t *testing.T) {
 	m := New(Config{ID: "d1", Address: "127.0.0.1:1", Period: 50}, clock.System(), Seams{})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/process/peer/merge.go
+++ b/internal/process/peer/merge.go
@@ -12,6 +12,9 @@
 // rumourRounds is how often a change is told, times the logarithm of the number of members.
 const rumourRounds = 3
 
+// demandRounds is how often a changed demand is told; fewer than a changed state, which thereby goes first.
+const demandRounds = 6
+
 // Merge takes in what another daemon said of members and reports whether the live members changed.
 func (t *Table) Merge(now clock.Millis, said []Entry) bool {
 	changed := false
@@ -73,7 +76,7 @@
 	if said.Sequence > held.Sequence {
 		held.Sequence = said.Sequence
 		held.Demand = said.Demand
-		t.tell(held.ID)
+		t.rumours[held.ID] = max(t.rumours[held.ID], demandRounds)
 		changed = true
 	}
 	return changed
--- a/internal/process/peer/message.go
+++ b/internal/process/peer/message.go
@@ -41,7 +41,7 @@
 	m.work.Go(func() {
 		reached := make([]bool, len(helpers))
 		m.each(helpers, func(i int, h Member) {
-			reached[i], _ = m.call.probe(ctx, h.Address, s.probe)
+			reached[i], _ = m.call.probe(ctx, h.Address, s.probe.ID)
 		})
 		if !slices.Contains(reached, true) {
 			_ = m.send(ctx, unconfirmed(s))
--- a/internal/process/peer/table.go
+++ b/internal/process/peer/table.go
@@ -98,8 +98,9 @@
 	t.touch()
 }
 
-// SetDemand replaces this daemon's demand and spreads it.
+// SetDemand replaces this daemon's demand and spreads it; what goes beyond maxDemand is left out.
 func (t *Table) SetDemand(d []Demand) {
+	d = d[:min(len(d), maxDemand)]
 	if slices.Equal(t.self.Demand, d) {
 		return
 	}
@@ -134,7 +135,7 @@
 	return out
 }
 
-// All returns this daemon's entry and those of all members fit to be told, in order of their ids.
+// All returns this daemon's entry and those of all members fit to be told, in order of their ids; demands beyond maxDemands are left out.
 func (t *Table) All(now clock.Millis) []Entry {
 	out := []Entry{t.self}
 	for _, e := range t.entries {
@@ -143,9 +144,22 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	bound(out)
 	return out
 }
 
+// bound leaves out demands beyond maxDemands; sequence 0 says that a demand is not known.
+func bound(es []Entry) {
+	total := 0
+	for i := range es {
+		total += len(es[i].Demand)
+		if total > maxDemands {
+			es[i].Demand = nil
+			es[i].Sequence = 0
+		}
+	}
+}
+
 // tellable keeps nearly forgotten members from going round for ever.
 func (t *Table) tellable(now clock.Millis, e *Entry) bool {
 	return e.live() || now-e.Since < t.periods(t.set.RememberFor)/2
--- a/internal/process/peer/wire.go
+++ b/internal/process/peer/wire.go
@@ -13,7 +13,9 @@
 	// maxIncarnation leaves room for denials above any incarnation taken from a peer.
 	maxIncarnation = 1 << 62
 	// maxDemand is the most demands taken of one member.
-	maxDemand = 512
+	maxDemand = 2048
+	// maxDemands is the most demands sent in one heartbeat.
+	maxDemands = 16384
 )
 
 func memberOut(now clock.Millis, e *Entry) *peerv1.Member {
