access: give callers TLS and passwords and peers mutual TLS

serve refused settings that named certificates or passwords. It now loads them, again when the files change, and keeps the old ones when the new ones are bad.

--- a/internal/command/daemons_test.go
+++ b/internal/command/daemons_test.go
@@ -6,8 +6,10 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -175,6 +177,45 @@
 	}
 }
 
+// secretVerifier fits the password "secret".
+const secretVerifier = "SCRAM-SHA-256$4096:MDEyMzQ1Njc4OWFiY2RlZg==$bpSY5Ze9NUH+I35LC3gVq+DpBfK46iXBxvhAKqVu9pE=:VpYlBuxyzeCI1KnctrefdljpB1mk3Gp7sBI/t11+NkQ="
+
+func TestServeAsksForPasswords(t *testing.T) {
+	dir := t.TempDir()
+	lines := background(t, "stand-ins", "--dir", dir, "--port", "0", "--daemons", "1")
+	for line := range lines {
+		if line == "serving until interrupted" {
+			break
+		}
+	}
+	text, err := os.ReadFile(filepath.Join(dir, "entry-1.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	passwords := write(t, "passwords", "precios precios "+secretVerifier+"\n")
+	changed := strings.Replace(string(text), "authenticate = false", "passwords-file = "+passwords, 1)
+	set, err := settings.Parse("entry-1.ini", []byte(changed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	background(t, "serve", "--settings", write(t, "entry-1.ini", changed))
+	await(t, "ready daemon", func() bool { return ready(set.Daemon.AdminAddress) })
+	for password, want := range map[string]string{"secret": "", "other": "28P01"} {
+		c, err := pgconn.Connect(t.Context(), "postgres://precios:"+password+"@"+set.Daemon.CallerAddress+"/precios?sslmode=disable")
+		if err == nil {
+			_ = c.Close(t.Context())
+		}
+		got := ""
+		var said *pgconn.PgError
+		if errors.As(err, &said) {
+			got = said.Code
+		}
+		if got != want || (err != nil) != (want != "") {
+			t.Errorf("%s: got %q (%v), want %q", password, got, err, want)
+		}
+	}
+}
+
 func TestTokenInspectRefuses(t *testing.T) {
 	key := write(t, "token.key", strings.Repeat("k", 32))
 	forged := base64.RawURLEncoding.EncodeToString(append([]byte{1}, make([]byte, 60)...))
--- a/internal/command/publish.go
+++ b/internal/command/publish.go
@@ -31,12 +31,12 @@
 		ArgsUsage: "FILE...",
 		Description: "Publishes nothing when any file is bad, and never overwrites another operator's update.\n\n" +
 			"Example: cactusfork publish --platform http://127.0.0.1:9400 --admin 127.0.0.1:9431,127.0.0.1:9432 precios.ini",
-		Flags: []cli.Flag{
+		Flags: append([]cli.Flag{
 			&cli.StringFlag{Name: "platform", Required: true, Usage: "`URL` of the platform's object API"},
 			&cli.StringSliceFlag{Name: "admin", Usage: "admin `ADDRESS` of each daemon to wait for, separated by commas"},
 			&cli.DurationFlag{Name: "wait", Value: defaultWait, Usage: "longest wait for the daemons; 0s asks them once"},
 			&cli.Int64Flag{Name: "if-version", Value: noVersion, Usage: "version `N` that the file was edited from, 0 for a new service; for one file only"},
-		},
+		}, operatorFlags()...),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return publishFiles(ctx, c, stdout, stderr)
 		},
@@ -52,6 +52,10 @@
 	if err := checkPublish(c, len(files)); err != nil {
 		return &badInput{err: err}
 	}
+	asker, err := newAsker(c)
+	if err != nil {
+		return err
+	}
 	clk := clock.System()
 	store := platform.Dial(platform.Config{URL: strings.TrimSuffix(c.String("platform"), "/")}, clk)
 	drafts, err := prepare(ctx, store, all, c.Int64("if-version"))
@@ -59,7 +63,7 @@
 		return fmt.Errorf("nothing was published: %w", err)
 	}
 	wanted, err := publishDrafts(ctx, store, drafts, stdout)
-	return errors.Join(err, awaitForce(ctx, c, clk, wanted, stdout))
+	return errors.Join(err, awaitForce(ctx, c, asker, clk, wanted, stdout))
 }
 
 func checkPublish(c *cli.Command, files int) error {
@@ -125,7 +129,7 @@
 }
 
 // awaitForce waits until the versions are in force on the daemons that can be asked.
-func awaitForce(ctx context.Context, c *cli.Command, clk *clock.Clock, wanted []fleet.Wanted, w io.Writer) error {
+func awaitForce(ctx context.Context, c *cli.Command, asker *fleet.Asker, clk *clock.Clock, wanted []fleet.Wanted, w io.Writer) error {
 	if len(wanted) == 0 {
 		return nil
 	}
@@ -134,10 +138,17 @@
 		_, _ = fmt.Fprintln(w, "no --admin address given: not asked whether the daemons have it in force")
 		return nil
 	}
-	within, cancel := context.WithTimeout(ctx, c.Duration("wait"))
+	wait := c.Duration("wait")
+	within, cancel := context.WithTimeout(ctx, wait)
+	if wait == 0 {
+		within, cancel = context.WithCancel(ctx)
+	}
 	defer cancel()
-	p := waitFor(ctx, within, c.Duration("wait"), clk, addresses, wanted, func(p *fleet.Progress) {
+	p := asker.Await(within, clk, addresses, wanted, func(p *fleet.Progress) {
 		_, _ = fmt.Fprintf(w, "in force on %d of %d asked daemons: %s\n", len(p.Held), len(addresses), ids(p.Held))
+		if wait == 0 {
+			cancel()
+		}
 	})
 	if len(p.Unasked) > 0 {
 		_, _ = fmt.Fprintf(w, "only the given addresses were asked; live daemons not asked: %s\n", ids(p.Unasked))
@@ -148,19 +159,6 @@
 	return fmt.Errorf("published, but not in force everywhere after %s:\n  %s", c.Duration("wait"), strings.Join(p.Missing, "\n  "))
 }
 
-// waitFor asks once, whatever the wait, and goes on until within ends.
-func waitFor(ctx, within context.Context, wait time.Duration, clk *clock.Clock, addresses []string, wanted []fleet.Wanted, tell func(*fleet.Progress)) *fleet.Progress {
-	asker := fleet.NewAsker()
-	if wait == 0 {
-		once, cancel := context.WithCancel(ctx)
-		return asker.Await(once, clk, addresses, wanted, func(p *fleet.Progress) {
-			tell(p)
-			cancel()
-		})
-	}
-	return asker.Await(within, clk, addresses, wanted, tell)
-}
-
 func ids(all []group.DaemonID) string {
 	if len(all) == 0 {
 		return "none"
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/cactusfork/cactusfork/internal/process/access"
 	"github.com/cactusfork/cactusfork/internal/process/entry"
 	"github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/internal/process/settings"
@@ -38,20 +39,22 @@
 	if err != nil {
 		return &badInput{err: err}
 	}
-	if err := refuseUnserved(file, set); err != nil {
-		return &badInput{err: err}
-	}
 	level, err := zapcore.ParseLevel(set.Log.Level)
 	if err != nil {
 		return &badInput{err: err}
 	}
 	log := newLog(stderr, level).With(zap.String("daemon", set.Daemon.ID))
 	clk := clock.System()
+	acc, err := access.Load(file, set, clk, func(err error) { log.Error("access files", zap.Error(err)) })
+	if err != nil {
+		return &badInput{err: err}
+	}
 	parts, done, err := newParts(set, clk, log)
 	if err != nil {
 		return err
 	}
 	defer done()
+	parts.Access = *acc
 	cfg := entry.FromSettings(set)
 	log.Info("serving", zap.String("caller-address", set.Daemon.CallerAddress))
 	if err := entry.New(&cfg, parts).Run(ctx, context.WithoutCancel(ctx)); err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -20,10 +20,10 @@
 		Usage: "show groups, targets, versions and peers as all daemons see them",
 		Description: "Merges what the daemons say; ends with status 1 when one of them does not answer.\n\n" +
 			"Example: cactusfork status --admin 127.0.0.1:9431,127.0.0.1:9432",
-		Flags: []cli.Flag{
+		Flags: append([]cli.Flag{
 			&cli.StringSliceFlag{Name: "admin", Required: true, Usage: "admin `ADDRESS` of each daemon, separated by commas"},
 			&cli.StringFlag{Name: "report", Value: "table", Usage: "table or json"},
-		},
+		}, operatorFlags()...),
 		Action: func(ctx context.Context, c *cli.Command) error { return status(ctx, c, stdout) },
 	}
 }
@@ -33,7 +33,11 @@
 	if report != "table" && report != "json" {
 		return &badInput{err: fmt.Errorf("got report %q, want table or json", report)}
 	}
-	s := fleet.Merge(fleet.NewAsker().Statuses(ctx, c.StringSlice("admin")))
+	asker, err := newAsker(c)
+	if err != nil {
+		return err
+	}
+	s := fleet.Merge(asker.Statuses(ctx, c.StringSlice("admin")))
 	print := printStatus
 	if report == "json" {
 		print = func(w io.Writer, s *fleet.Status) error { return printJSON(w, s) }
--- a/internal/command/timeline.go
+++ b/internal/command/timeline.go
@@ -31,7 +31,7 @@
 		Usage: "merge the events of several daemons into one time line",
 		Description: "Reads JSON-lines files, running daemons, or both; an event read twice is shown once.\n\n" +
 			"Example: cactusfork timeline --file entry-1.jsonl --file entry-2.jsonl --report svg --out change.svg",
-		Flags: []cli.Flag{
+		Flags: append([]cli.Flag{
 			&cli.StringSliceFlag{Name: "file", Usage: "`FILE` of JSON lines; may be repeated"},
 			&cli.StringSliceFlag{Name: "admin", Usage: "admin `ADDRESS` of a daemon; may be repeated"},
 			&cli.StringFlag{Name: "group", Usage: "only events of this group"},
@@ -41,7 +41,7 @@
 			&cli.StringFlag{Name: "until", Usage: "only events before this `TIME`"},
 			&cli.StringFlag{Name: "report", Value: "text", Usage: "text, json, figures, figures-json or svg"},
 			&cli.StringFlag{Name: "out", Usage: "`FILE` to write to instead of standard output"},
-		},
+		}, operatorFlags()...),
 		Action: func(ctx context.Context, c *cli.Command) error { return timeline(ctx, c, stdout, stderr) },
 	}
 }
@@ -58,7 +58,11 @@
 	if len(c.StringSlice("file"))+len(c.StringSlice("admin")) == 0 {
 		return &badInput{err: errors.New("name at least one --file or --admin address")}
 	}
-	streams, missing, err := readStreams(ctx, c, stderr)
+	asker, err := newAsker(c)
+	if err != nil {
+		return err
+	}
+	streams, missing, err := readStreams(ctx, c, asker, stderr)
 	if err != nil {
 		return err
 	}
@@ -100,7 +104,7 @@
 }
 
 // readStreams reads all sources and tells which ones it could not read wholly.
-func readStreams(ctx context.Context, c *cli.Command, stderr io.Writer) ([][]event.Event, int, error) {
+func readStreams(ctx context.Context, c *cli.Command, asker *fleet.Asker, stderr io.Writer) ([][]event.Event, int, error) {
 	var streams [][]event.Event
 	missing := 0
 	for _, name := range c.StringSlice("file") {
@@ -116,7 +120,7 @@
 		}
 		streams = append(streams, all)
 	}
-	for _, e := range fleet.NewAsker().Events(ctx, c.StringSlice("admin")) {
+	for _, e := range asker.Events(ctx, c.StringSlice("admin")) {
 		if e.Err != nil {
 			missing++
 			_, _ = fmt.Fprintf(stderr, "%s: passed over: %v\n", e.Address, e.Err)
--- a/internal/process/fleet/ask.go
+++ b/internal/process/fleet/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -29,12 +30,18 @@
 
 // Asker asks daemons over HTTP.
 type Asker struct {
-	HTTP *http.Client
+	http   *http.Client
+	scheme string
 }
 
-// NewAsker returns an asker that goes to addresses directly, without a proxy of the environment.
-func NewAsker() *Asker {
-	return &Asker{HTTP: &http.Client{Transport: &http.Transport{}, Timeout: askTimeout.Duration()}}
+// NewAsker returns an asker that goes to addresses directly, without a proxy of the environment; cfg is nil for cleartext.
+func NewAsker(cfg *tls.Config) *Asker {
+	a := &Asker{scheme: "http://"}
+	if cfg != nil {
+		a.scheme = "https://"
+	}
+	a.http = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}, Timeout: askTimeout.Duration()}
+	return a
 }
 
 // Statuses asks all addresses at once and returns their answers in the same order.
@@ -80,11 +87,11 @@
 }
 
 func (a *Asker) get(ctx context.Context, address, path string, read func(io.Reader) error) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, a.scheme+address+path, http.NoBody)
 	if err != nil {
 		return fmt.Errorf("ask %s: %w", address, err)
 	}
-	res, err := a.HTTP.Do(r)
+	res, err := a.http.Do(r)
 	if err != nil {
 		return fmt.Errorf("ask %s: %w", address, err)
 	}
