--- a/internal/command/publish_test.go
+++ b/internal/command/publish_test.go
@@ -134,6 +134,9 @@
 	}
 }
 
+// exampleToken is signed with docs/examples/token.key.
+const exampleToken = "AQAAAAAAAAACAAAAAAAAAyRwcmVjaW9zLWRiLTHLCFZDY0MpInDrlxe0NZi76urStrBYI5ZAbV4uQaQwhA"
+
 func TestCommands(t *testing.T) {
 	events := write(t, "e.jsonl", `{"at":{"millis":1000,"counter":0,"daemon":"x"},"kind":"suspected","group":"g","target":"a","term":1}`+"\n")
 	torn := write(t, "torn.jsonl", `{"at":`+"\n")
@@ -162,6 +165,7 @@
 		{"silent daemon", []string{"timeline", "--admin", "127.0.0.1:1"}, exitFailed, "", "not whole"},
 		{"figures", []string{"timeline", "--file", "../../pkg/event/testdata/figures.jsonl", "--report", "figures"}, 0, "2026-01  precios  read   10      5            50.0%", ""},
 		{"figures json", []string{"timeline", "--file", "../../pkg/event/testdata/figures.jsonl", "--report", "figures-json"}, 0, `"median-ms": 900`, ""},
+		{"token", []string{"token", "inspect", "--key-file", "../../docs/examples/token.key", exampleToken}, 0, "check     holds\nversion   1\ngroup     precios-db-1\nterm      2\nposition  804\n", ""},
 		{"daemons", []string{"stand-ins", "--dir", t.TempDir(), "--daemons", "0"}, exitBadInput, "", "want 1 to 9"},
 		{"completion", []string{"completion", "bash"}, 0, "cactusfork", ""},
 	}
