target: wait for the end of a promotion under the target's lock

Cause: a fence could be answered 'not primary' while an earlier promotion was still under way; the target then became primary of the older term after it had promised the later one, and with one unfenced follower could have had a write acknowledged that the next primary lacks. Change: the promotion waits (pg_promote(true)) and the lock stays taken until it has ended, also when the connection of the order was cut; the status statement names the followed primary and the log's term in the way a stock server reports them; a target that outranks an order gives its lock back at once. Test: a fence sent during a promotion is answered either before it or after it.

--- a/internal/connection/target/conn.go
+++ b/internal/connection/target/conn.go
@@ -103,6 +103,11 @@
 	if ctx.Done() == nil {
 		return func() {}
 	}
+	if ctx.Err() != nil {
+		// AfterFunc alone would leave it to chance whether the exchange still gets through.
+		c.Close()
+		return func() {}
+	}
 	wire := c.wire
 	stop := context.AfterFunc(ctx, func() { _ = wire.SetDeadline(time.Unix(1, 0)) })
 	return func() {
--- a/internal/connection/target/dialect.go
+++ b/internal/connection/target/dialect.go
@@ -6,8 +6,8 @@
 	StatusQuery = `SELECT coalesce(current_setting('cactusfork.term', true), '0'), ` +
 		`coalesce(current_setting('cactusfork.holder', true), ''), ` +
 		`NOT pg_is_in_recovery(), ` +
-		`coalesce((SELECT slot_name FROM pg_stat_wal_receiver WHERE status = 'streaming'), ''), ` +
-		`(pg_control_recovery()).min_recovery_end_timeline, ` +
+		`coalesce((SELECT substring(conninfo FROM 'application_name=(\S+)') FROM pg_stat_wal_receiver WHERE status = 'streaming'), ''), ` +
+		`greatest((pg_control_recovery()).min_recovery_end_timeline, (pg_control_checkpoint()).timeline_id), ` +
 		`coalesce(pg_last_wal_receive_lsn(), pg_current_wal_flush_lsn()) - '0/0', ` +
 		`(pg_control_checkpoint()).timeline_id, ` +
 		`coalesce(pg_last_wal_replay_lsn(), pg_current_wal_flush_lsn()) - '0/0'`
@@ -33,6 +33,6 @@
 	FollowPrimary = `ALTER SYSTEM SET primary_conninfo = 'host=%s port=%d application_name=%s'`
 	// Reload puts the settings into force.
 	Reload = `SELECT pg_reload_conf()`
-	// Promotion makes the target a primary at the term that was set.
-	Promotion = `SELECT pg_promote(false)`
+	// Promotion makes the target a primary at the term that was set and waits until it is, so that no fence comes in between under the lock.
+	Promotion = `SELECT pg_promote(true)`
 )
--- a/internal/connection/target/order.go
+++ b/internal/connection/target/order.go
@@ -45,7 +45,7 @@
 		return group.Status{}, err
 	}
 	if locked.outranks(o) {
-		return locked.status, &ErrOutranked{Promise: locked.status.Promise, Holder: locked.status.Holder}
+		return locked.status, c.unlock(&ErrOutranked{Promise: locked.status.Promise, Holder: locked.status.Holder})
 	}
 	if locked.mustStepDown(o) {
 		down, err := followStatement(o.Primary)
@@ -135,6 +135,18 @@
 	return held{s}, err
 }
 
+// unlock gives the lock back, so that the next order need not wait for the end of this session, and returns cause or what went wrong.
+func (c *Conn) unlock(cause error) error {
+	c.Send(&pgproto3.Query{String: UnlockQuery})
+	if err := c.Flush(); err != nil {
+		return fmt.Errorf("unlock: %w", err)
+	}
+	if _, err := c.answer(); err != nil {
+		return fmt.Errorf("unlock: %w", err)
+	}
+	return cause
+}
+
 func orderStatements(o group.Order) ([]string, error) {
 	if strings.ContainsAny(string(o.Holder), "'\\") {
 		return nil, fmt.Errorf("holder %q cannot be quoted", o.Holder)
--- a/internal/connection/target/order_test.go
+++ b/internal/connection/target/order_test.go
@@ -78,6 +78,9 @@
 			}
 		})
 	}
+	if t.Failed() {
+		return
+	}
 	waitFor(t, all["b"], func(s group.Status) bool { return s.Primary })
 	waitFor(t, all["c"], func(s group.Status) bool { return s.Following == "b" })
 }
@@ -157,3 +160,36 @@
 		t.Errorf("got %s rows, want %s in the table that was kept", got, want)
 	}
 }
+
+func TestNoFenceBetweenPromotionAndItsEnd(t *testing.T) {
+	all := network(t)
+	b := all["b"]
+	b.SetLag(clock.Second)
+	ctx := context.Background()
+	if _, err := dial(t, b).Order(ctx, group.Order{Kind: group.Fence, Term: 2, Holder: "d"}); err != nil {
+		t.Fatal(err)
+	}
+	promote := group.Order{Kind: group.Promote, Term: 2, Holder: "d", Primary: group.Target{ID: "b", Address: b.Address()}}
+	done := make(chan error, 1)
+	go func() {
+		_, err := dial(t, b).Order(ctx, promote)
+		done <- err
+	}()
+	for {
+		s, err := dial(t, b).Order(ctx, group.Order{Kind: group.Fence, Term: 3, Holder: "e"})
+		if errors.Is(err, target.ErrLocked) {
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		promoted := <-done
+		if wrote := s.Received.Term == 2; wrote != s.Primary {
+			t.Errorf("got a fence answered with primary %v and log term %d, want both or neither of the promotion", s.Primary, s.Received.Term)
+		}
+		if !s.Primary && promoted == nil {
+			t.Error("got a promotion that ended after a later fence, want it outranked")
+		}
+		return
+	}
+}
--- a/internal/standin/target/execute.go
+++ b/internal/standin/target/execute.go
@@ -19,7 +19,7 @@
 	}
 	switch st.kind {
 	case controlStatement:
-		return s.runControl(st.text)
+		return s.control(ctx, st.text)
 	case beginStatement:
 		s.block = true
 		s.readOnly = strings.Contains(strings.ToUpper(st.text), "READ ONLY")
