config: measure the spread of a change from the stand-in platform

Cause: the spread was measured from a store in the same process, and a broken bound on demands went unnoticed by its test. Change: the benchmark publishes through the HTTP store; the test of the bound uses 60 members; the mesh test also ends a daemon without a word.

--- a/internal/process/config/bench_test.go
+++ b/internal/process/config/bench_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cactusfork/cactusfork/internal/process/peer"
 	"github.com/cactusfork/cactusfork/internal/process/platform"
+	standin "github.com/cactusfork/cactusfork/internal/standin/platform"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
@@ -73,8 +74,12 @@
 // BenchmarkPublish measures the time from a change at the platform until all of 8 daemons on loopback hold it.
 func BenchmarkPublish(b *testing.B) {
 	const daemons = 8
-	store := newFakeStore()
 	ctx, cancel := context.WithCancel(context.Background())
+	server, err := standin.Start(ctx, standin.Config{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	store := platform.Dial(platform.Config{URL: server.URL()}, clock.System())
 	var work sync.WaitGroup
 	defer work.Wait()
 	defer cancel()
@@ -96,6 +101,7 @@
 		work.Go(func() { _ = h.Run(ctx) })
 	}
 	n := 0
+	var version platform.Version
 	var worst, sum time.Duration
 	for b.Loop() {
 		n++
@@ -105,7 +111,9 @@
 		b.StartTimer()
 		value := fmt.Sprint(n)
 		start := time.Now()
-		store.put("groups/a", value)
+		if version, err = store.Put(ctx, "groups/a", []byte(value), version); err != nil {
+			b.Fatal(err)
+		}
 		for _, h := range holders {
 			wait(func() bool {
 				o, ok := h.Snapshot().Get("groups/a")
@@ -126,7 +134,7 @@
 }
 
 // daemon wires a holder and a mesh together, as a daemon does.
-func daemon(i int, store *fakeStore, seeds []string) (*Holder, *peer.Mesh, *httptest.Server) {
+func daemon(i int, store *platform.Store, seeds []string) (*Holder, *peer.Mesh, *httptest.Server) {
 	clk := clock.System()
 	id := group.DaemonID(fmt.Sprint("d", i))
 	mux := http.NewServeMux()
@@ -134,7 +142,7 @@
 	seed := seeds[0]
 	var m *peer.Mesh
 	h := New(Defaults(id, "dc-1"), clk, Seams{
-		Store:          store.store(),
+		Store:          store,
 		Live:           func() []peer.Member { return m.Live() },
 		FetchFromPeers: func(ctx context.Context) ([]platform.Object, error) { return m.FetchObjects(ctx) },
 		Jitter:         func() float64 { return 0.5 },
--- a/internal/process/peer/contract_test.go
+++ b/internal/process/peer/contract_test.go
@@ -201,7 +201,7 @@
 	}
 	table := testTable()
 	table.SetDemand(many)
-	for i := range 20 {
+	for i := range 60 {
 		e := entry(group.DaemonID(fmt.Sprint("d", i+1)), 1, Alive)
 		e.Demand, e.Sequence = many[:maxDemand], 1
 		table.Merge(0, []Entry{e})
--- a/internal/process/peer/mesh_test.go
+++ b/internal/process/peer/mesh_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-func TestMeshFindsAllThroughOneSeed(t *testing.T) {
+func TestMeshFindsAllThroughOneSeedAndLosesThoseThatEnd(t *testing.T) {
 	clk := clock.System()
 	first := startMesh(t, "d0", clk, Seams{})
 	meshes := []*testMesh{first}
@@ -74,4 +74,8 @@
 	for _, m := range meshes[:3] {
 		eventually(func() bool { return len(m.Live()) == 2 })
 	}
+	meshes[2].stop()
+	for _, m := range meshes[:2] {
+		eventually(func() bool { return len(m.Live()) == 1 })
+	}
 }
