group: break each rule in the model and let promotions take time

Cause: no variant acknowledged without a majority, promoted with fewer than one, recorded without the condition, or met a fence during a promotion; the stand-still of two old primaries under a higher promise was mended in the order to the target only.

--- a/internal/version/group/sim_test.go
+++ b/internal/version/group/sim_test.go
@@ -61,7 +61,10 @@
 	calls        int
 	double       float64 // share of events that come again, late
 	doubleStream bool
+	eager        bool // acknowledges what the primary alone holds
 	tamper       func(a Action) Action
+	forge        func(e Event) Event
+	settings     Settings
 }
 
 func newSim(seed uint64, targets, daemons int) *sim {
@@ -97,7 +100,7 @@
 // start runs d anew with what the platform says.
 func (s *sim) start(d *simDaemon) {
 	*d = simDaemon{id: d.id, skew: d.skew, up: true}
-	d.m = New(d.id, s.platform.rec, Settings{}, s.rnd.Float64)
+	d.m = New(d.id, s.platform.rec, s.settings, s.rnd.Float64)
 	s.deliver(d, 5, Recorded{Record: s.platform.rec, Version: s.platform.version})
 }
 
@@ -127,6 +130,9 @@
 // deliver gives e to the run of d that is now alive.
 func (s *sim) deliver(d *simDaemon, delay clock.Millis, e Event) {
 	m := d.m
+	if s.forge != nil {
+		e = s.forge(e)
+	}
 	run := func() {
 		if d.m == m {
 			s.step(d, e)
@@ -218,8 +224,12 @@
 			s.deliver(d, 395, unknown)
 			return
 		}
+		if s.now < t.lockedTo && !t.unlocked {
+			s.deliver(d, 3, unknown)
+			return
+		}
 		st, out := t.order(s, a.Order)
-		if answer || t.paused {
+		if answer || t.paused || s.now < t.lockedTo {
 			s.deliver(d, 395, unknown)
 			return
 		}
@@ -286,6 +296,10 @@
 	if !d.up || d.paused || t == nil || !t.up || t.paused || !t.primary || !s.reach(string(d.id), string(t.id)) {
 		return
 	}
+	s.writeTo(t)
+}
+
+func (s *sim) writeTo(t *simTarget) {
 	w := &write{payload: len(s.writes) + 1, heldBy: map[TargetID]bool{}}
 	t.log = append(t.log, entry{term: t.received().Term, payload: w.payload})
 	w.at = t.received()
@@ -301,7 +315,7 @@
 				w.heldBy[id] = true
 			}
 		}
-		if len(w.heldBy) < s.platform.rec.Majority() {
+		if len(w.heldBy) < s.platform.rec.Majority() && !s.eager {
 			waiting = append(waiting, w)
 			continue
 		}
@@ -394,7 +408,7 @@
 	s.lose, s.double = nil, 0
 	for _, id := range s.ids {
 		s.targets[id].up = true
-		s.targets[id].lag = 0
+		s.targets[id].lag, s.targets[id].slow = 0, 0
 		s.wake(id)
 	}
 	for _, d := range s.daemons {
--- a/internal/version/group/target_test.go
+++ b/internal/version/group/target_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
 
@@ -23,6 +24,10 @@
 	waiting   []func()
 	lag       int // records that the stream stays behind
 	lawless   bool
+	slow      clock.Millis // how long a promotion takes; its answer is lost
+	lockedTo  clock.Millis // when the promotion under way ends
+	unlocked  bool         // takes orders during a promotion
+	stubborn  bool         // ignores a promotion while it is primary
 }
 
 func (t *simTarget) received() position.Point {
@@ -48,12 +53,12 @@
 	case Fence:
 		t.following = ""
 	case Promote:
-		if !t.primary || t.received().Term != o.Term {
-			t.primary = true
-			t.following = ""
-			t.log = append(t.log, entry{term: o.Term})
-			s.promoted(t, o.Term)
+		t.lockedTo = s.now + t.slow
+		if t.slow == 0 {
+			t.become(s, o.Term)
+			break
 		}
+		s.after(t.slow, func() { t.become(s, o.Term) })
 	case Follow:
 		t.primary = false
 		t.following = o.Primary.ID
@@ -61,6 +66,17 @@
 	return t.status(s), OrderOK
 }
 
+// become ends a promotion.
+func (t *simTarget) become(s *sim, term position.Term) {
+	if !t.up || t.primary && (t.stubborn || t.received().Term == term) {
+		return
+	}
+	t.primary = true
+	t.following = ""
+	t.log = append(t.log, entry{term: term})
+	s.promoted(t, term)
+}
+
 // stream copies the log of the followed primary, dropping what it does not hold.
 func (t *simTarget) stream(s *sim) {
 	if !s.streaming(t) {
