entry: retry within a budget and let go of a replaced primary

Cause: repeated attempts had neither pause nor budget (retry was not called); a read could outlive its sample in the queue; requests waiting for, or at work on, a paused primary stayed there until their deadline although another primary served.

--- a/internal/command/try.go
+++ b/internal/command/try.go
@@ -19,11 +19,13 @@
 	return &cli.Command{
 		Name:  "try",
 		Usage: "run three daemons on embedded stand-ins and load them",
+		Description: "Checks every answer against what the sessions know and prints counts.\n\n" +
+			"Example: cactusfork try --seconds 5 --fault primary-crash",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address of the first daemon; the others take the next ports"},
 			&cli.IntFlag{Name: "seconds", Value: 5, Usage: "length of the load; 0 serves without load until interrupted"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the sessions"},
-			&cli.StringFlag{Name: "fault", Value: string(trial.NoFault), Usage: "none, primary-crash, primary-cut, replicas-lag, platform-down or daemon-crash"},
+			&cli.StringFlag{Name: "fault", Value: string(trial.NoFault), Usage: "none, primary-crash, primary-cut, primary-pause, replicas-lag, platform-down or daemon-crash"},
 			&cli.StringFlag{Name: "policy", Value: string(entry.Default), Usage: "default or primary-only"},
 			&cli.StringFlag{Name: "report", Value: "text", Usage: "text or json"},
 		},
--- a/internal/process/control/views.go
+++ b/internal/process/control/views.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 
@@ -22,10 +23,13 @@
 	view    atomic.Pointer[route.View]
 	mu      sync.Mutex
 	changed chan struct{}
+	reign   context.Context
+	end     context.CancelFunc
 }
 
 func newCell(v *route.View, w *probe.Group) *Cell {
 	c := &Cell{watch: w, changed: make(chan struct{})}
+	c.reign, c.end = context.WithCancel(context.Background())
 	c.view.Store(v)
 	return c
 }
@@ -43,9 +47,29 @@
 // View returns the view in force.
 func (c *Cell) View() *route.View { return c.view.Load() }
 
+// Reign is the time of one primary, which ends when a primary of a later term is known.
+type Reign struct{ ctx context.Context }
+
+// Ended reports whether a later primary is known.
+func (r Reign) Ended() bool { return r.ctx.Err() != nil }
+
+// AfterEnd calls f once the reign has ended; stop takes that back and reports whether f was not called.
+func (r Reign) AfterEnd(f func()) (stop func() bool) { return context.AfterFunc(r.ctx, f) }
+
+// Reign returns the reign of the present view.
+func (c *Cell) Reign() Reign {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Reign{ctx: c.reign}
+}
+
 func (c *Cell) store(v *route.View) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if v.Record.Term > c.view.Load().Record.Term {
+		c.end()
+		c.reign, c.end = context.WithCancel(context.Background())
+	}
 	c.view.Store(v)
 	close(c.changed)
 	c.changed = make(chan struct{})
--- a/internal/process/entry/daemon.go
+++ b/internal/process/entry/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/cactusfork/cactusfork/internal/process/peer"
 	"github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/internal/process/probe"
+	"github.com/cactusfork/cactusfork/internal/request/retry"
 	"github.com/cactusfork/cactusfork/internal/request/route"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/service"
@@ -93,11 +94,15 @@
 		Period:     cfg.Period,
 		TLS:        p.Access.PeerTLS,
 	}, p.Clock, d.peerSeams())
-	d.router = &router{clk: p.Clock, loop: d.loop, targets: d.targets, policy: cfg.Policy, place: cfg.DataCentre, meter: d.meter, replicaWait: cfg.ReplicaWait}
+	d.router = &router{clk: p.Clock, loop: d.loop, targets: d.targets, policy: cfg.Policy, place: cfg.DataCentre, meter: d.meter, replicaWait: cfg.ReplicaWait, retries: newRetries(p.Clock)}
 	d.server = caller.New(cfg.Callers, d.callerSeams())
 	return d
 }
 
+func newRetries(clk *clock.Clock) *retry.Policy {
+	return &retry.Policy{Budget: retry.NewBudget(clk.Now()), BackOff: retry.NewBackOff()}
+}
+
 // Run serves until ctx ends, then drains and stops; the end of abort stops it at once, as a crash does.
 func (d *Daemon) Run(ctx, abort context.Context) error {
 	inner, stop := context.WithCancel(abort)
--- a/internal/process/entry/defaults.go
+++ b/internal/process/entry/defaults.go
@@ -4,6 +4,7 @@
 	"github.com/cactusfork/cactusfork/internal/connection/caller"
 	"github.com/cactusfork/cactusfork/internal/process/probe"
 	"github.com/cactusfork/cactusfork/internal/process/settings"
+	"github.com/cactusfork/cactusfork/internal/request/retry"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
@@ -21,7 +22,7 @@
 			IdleTimeout: 60 * clock.Second,
 			Queue:       512,
 		},
-		Callers:     caller.Config{DataCentre: place, RequestTimeout: 10 * clock.Second, MaxConnections: 5000},
+		Callers:     caller.Config{DataCentre: place, RequestTimeout: 10 * clock.Second, MaxConnections: 5000, MaxAttempts: retry.MaxTries},
 		Probe:       probe.Settings{Interval: 100, Timeout: 250, Pause: probePause},
 		Machine:     group.DefaultSettings(),
 		Period:      250,
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -5,6 +5,7 @@
 
 	"github.com/cactusfork/cactusfork/internal/connection/caller"
 	"github.com/cactusfork/cactusfork/internal/connection/target"
+	"github.com/cactusfork/cactusfork/internal/process/control"
 	"github.com/cactusfork/cactusfork/internal/request/route"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/service"
@@ -14,39 +15,54 @@
 // slotsFullCode is how a target says that it has no slot or connection free.
 const slotsFullCode = "53300"
 
-// lease lends conn to one request and settles its slot, its connection and its counts at the end.
-func (r *router) lease(ctx context.Context, svc *service.Service, v *route.View, t *group.Target, choice route.Choice, conn *target.Conn, leave func()) *caller.Lease {
-	l := &caller.Lease{Conn: conn, Target: t.ID, Primary: choice.Kind == route.Primary}
+// grant is what a lease is made of.
+type grant struct {
+	svc    *service.Service
+	term   position.Term
+	reign  control.Reign
+	target *group.Target
+	choice route.Choice
+	conn   *target.Conn
+	leave  func()
+}
+
+// lease lends a connection to one request and settles its slot, its connection and its counts at the end.
+func (r *router) lease(ctx context.Context, g *grant) *caller.Lease {
+	l := &caller.Lease{Conn: g.conn, Target: g.target.ID, Primary: g.choice.Kind == route.Primary}
+	forget := func() bool { return true }
 	if l.Primary {
-		l.Term = v.Record.Term
+		l.Term = g.term
+		// Nothing that a replaced primary still answers can be acknowledged.
+		forget = g.reign.AfterEnd(g.conn.Close)
 	}
-	pool := r.targets.pool(t, string(svc.Name))
-	term := l.Term
+	pool := r.targets.pool(g.target, string(g.svc.Name))
 	l.Release = func(reuse bool, o caller.Outcome) {
-		if !reuse {
-			conn.Break()
+		if !forget() || !reuse {
+			g.conn.Break()
 		}
-		pool.Put(conn)
-		leave()
-		r.settle(ctx, svc.Group, t, term, reuse, o)
+		pool.Put(g.conn)
+		g.leave()
+		r.settle(ctx, g, reuse, o)
 	}
 	return l
 }
 
 // settle learns from how a request at a target ended.
-func (r *router) settle(ctx context.Context, id group.ID, t *group.Target, term position.Term, reuse bool, o caller.Outcome) {
+func (r *router) settle(ctx context.Context, g *grant, reuse bool, o caller.Outcome) {
 	r.meter.sent(o)
+	desk := r.targets.desk(g.target)
 	if o.Code == slotsFullCode {
-		r.targets.desk(t).refused(r.clk.Now())
+		desk.refused(r.clk.Now())
 		return
 	}
 	if o.Result == caller.Acknowledged {
-		r.targets.desk(t).served()
+		desk.served()
 	}
-	if o.Result == caller.Acknowledged && term > 0 && o.Kind == service.Write {
-		r.meter.wrote(id, t.ID, term)
+	wrote := g.choice.Kind == route.Primary && o.Kind == service.Write
+	if o.Result == caller.Acknowledged && wrote {
+		r.meter.wrote(g.svc.Group, g.target.ID, g.term)
 	}
-	if !reuse && o.Result != caller.Lost {
-		r.loop.Failed(ctx, id, t.ID, group.Reset)
+	if !reuse && o.Result != caller.Lost && !g.reign.Ended() {
+		r.loop.Failed(ctx, g.svc.Group, g.target.ID, group.Reset)
 	}
 }
--- a/internal/process/entry/router.go
+++ b/internal/process/entry/router.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 
 	"github.com/cactusfork/cactusfork/internal/connection/caller"
 	"github.com/cactusfork/cactusfork/internal/connection/target"
 	"github.com/cactusfork/cactusfork/internal/process/control"
 	"github.com/cactusfork/cactusfork/internal/process/probe"
-	"github.com/cactusfork/cactusfork/internal/request/admission"
 	"github.com/cactusfork/cactusfork/internal/request/refusal"
+	"github.com/cactusfork/cactusfork/internal/request/retry"
 	"github.com/cactusfork/cactusfork/internal/request/route"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/service"
@@ -18,9 +17,6 @@
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
 
-// pollView is how often a waiting request looks at the view although nothing has changed, in milliseconds.
-const pollView clock.Millis = 50
-
 // router finds a target, a slot and a connection for each request.
 type router struct {
 	clk     *clock.Clock
@@ -31,6 +27,7 @@
 	meter   *meter
 	// replicaWait bounds how long a read waits for a replica.
 	replicaWait clock.Millis
+	retries     *retry.Policy
 }
 
 // service returns what is published of a service.
@@ -82,22 +79,28 @@
 	if err := r.freshen(ctx, c, &n); err != nil {
 		return nil, err
 	}
-	patience := r.patience(c, n)
-	for {
-		view, changed := c.Load()
-		n.ReplicaOnly = r.clk.Now() < patience
-		choice := route.Choose(view, r.clk.Now(), n, rand.IntN)
-		lease, err := r.try(ctx, svc, view, n, choice)
-		if lease != nil || err != nil {
-			return lease, err
-		}
-		if n.ReplicaOnly {
-			c.Watch().Kick()
-		}
-		if err := r.wait(ctx, changed, patience); err != nil {
-			return nil, err
-		}
+	if err := r.again(ctx, n, o); err != nil {
+		return nil, err
+	}
+	q := &quest{r: r, svc: svc, cell: c, need: n, patience: r.patience(c, n)}
+	return q.run(ctx)
+}
+
+// again lets a further attempt pass once the budget and a pause allow it.
+func (r *router) again(ctx context.Context, n route.Need, o caller.AcquireOptions) error {
+	if o.Attempt == 0 {
+		r.retries.Budget.Fresh()
+		return nil
+	}
+	a := retry.Attempt{Request: n.Request, Tries: o.Attempt, Deadline: n.Deadline}
+	d := r.retries.Decide(r.clk.Now(), a, retry.NoConnection)
+	if d.Kind != retry.Retry {
+		return d.Refusal
+	}
+	if err := r.clk.Sleep(ctx, d.After); err != nil {
+		return refusal.Deadline("the deadline passed before a retry")
 	}
+	return nil
 }
 
 // patience is until when a read waits for a replica before it turns to the primary; 0 when that is not worth while.
@@ -121,65 +124,6 @@
 	return nil
 }
 
-func (r *router) wait(ctx context.Context, changed <-chan struct{}, patience clock.Millis) error {
-	most := pollView
-	if left := patience - r.clk.Now(); left > 0 {
-		most = min(most, left)
-	}
-	select {
-	case <-changed:
-	case <-r.clk.After(most):
-	case <-ctx.Done():
-		return refusal.NoPrimary("no target may serve the request before its deadline")
-	}
-	return nil
-}
-
-// try returns neither a lease nor an error when another target, or the same one later, is to be tried.
-func (r *router) try(ctx context.Context, svc *service.Service, v *route.View, n route.Need, choice route.Choice) (*caller.Lease, error) {
-	if choice.Kind == route.Wait || choice.Kind == route.Refuse {
-		return nil, nil
-	}
-	t, ok := v.Record.Target(choice.Target)
-	if !ok {
-		return nil, nil
-	}
-	release, err := r.enter(ctx, &t, n)
-	if err != nil {
-		return nil, err
-	}
-	conn := r.connect(ctx, svc, &t)
-	if conn == nil {
-		release()
-		return nil, nil
-	}
-	return r.lease(context.WithoutCancel(ctx), svc, v, &t, choice, conn, release), nil
-}
-
-func (r *router) enter(ctx context.Context, t *group.Target, n route.Need) (func(), error) {
-	kind := admission.Read
-	if n.Request.Kind == service.Write {
-		kind = admission.Write
-	}
-	return r.targets.desk(t).gate.Enter(ctx, admission.Ticket{
-		Weight:   n.Request.Weight,
-		Kind:     kind,
-		Deadline: n.Deadline,
-	})
-}
-
-// connect returns nil, and reports why, when the target gives no connection.
-func (r *router) connect(ctx context.Context, svc *service.Service, t *group.Target) *target.Conn {
-	within, cancel := context.WithTimeout(ctx, r.targets.cfg.DialTimeout.Duration())
-	defer cancel()
-	conn, err := r.targets.pool(t, string(svc.Name)).Get(within)
-	if err != nil {
-		r.failed(ctx, svc.Group, t.ID, err)
-		return nil
-	}
-	return conn
-}
-
 // failed tells the control loop what traffic met at a target, unless the target merely refused.
 func (r *router) failed(ctx context.Context, id group.ID, t group.TargetID, err error) {
 	var said *target.ServerError
--- a/internal/trial/config.go
+++ b/internal/trial/config.go
@@ -16,6 +16,7 @@
 	NoFault      Fault = "none"
 	PrimaryCrash Fault = "primary-crash"
 	PrimaryCut   Fault = "primary-cut"
+	PrimaryPause Fault = "primary-pause"
 	ReplicasLag  Fault = "replicas-lag"
 	PlatformDown Fault = "platform-down"
 	DaemonCrash  Fault = "daemon-crash"
@@ -23,7 +24,7 @@
 
 // Faults lists all faults.
 func Faults() []Fault {
-	return []Fault{NoFault, PrimaryCrash, PrimaryCut, ReplicasLag, PlatformDown, DaemonCrash}
+	return []Fault{NoFault, PrimaryCrash, PrimaryCut, PrimaryPause, ReplicasLag, PlatformDown, DaemonCrash}
 }
 
 // ParseFault checks the name of a fault.
--- a/internal/trial/fault.go
+++ b/internal/trial/fault.go
@@ -13,24 +13,32 @@
 // laggedBy is the lag of replicas while they are made to lag, in milliseconds.
 const laggedBy clock.Millis = 1500
 
-// inject brings the fault about after a third of the length and heals it after two thirds; it returns when the fault began, 0 for none.
-func (s *Stage) inject(ctx context.Context, length clock.Millis) (clock.Millis, error) {
+// outage is when a fault was brought about: it had begun by began and was complete by complete.
+type outage struct {
+	began    clock.Millis
+	complete clock.Millis
+}
+
+// inject brings the fault about after a third of the length and heals it after two thirds.
+func (s *Stage) inject(ctx context.Context, length clock.Millis) (outage, error) {
+	var o outage
 	if s.cfg.Fault == NoFault {
-		return 0, nil
+		return o, nil
 	}
 	if err := s.clk.Sleep(ctx, length/3); err != nil {
-		return 0, err
+		return o, err
 	}
-	began := s.clk.Now()
+	o.began = s.clk.Now()
 	heal, err := s.begin()
+	o.complete = s.clk.Now()
 	if err != nil {
-		return began, err
+		return o, err
 	}
 	err = s.clk.Sleep(ctx, length/3)
 	if h := heal(ctx); h != nil {
-		return began, fmt.Errorf("heal %s: %w", s.cfg.Fault, h)
+		return o, fmt.Errorf("heal %s: %w", s.cfg.Fault, h)
 	}
-	return began, err
+	return o, err
 }
 
 // begin brings the fault about and returns what heals it.
@@ -43,6 +51,9 @@
 	case PrimaryCut:
 		s.Network.CutOff(primary.ID())
 		return healed(s.Network.Heal), nil
+	case PrimaryPause:
+		primary.Pause()
+		return healed(primary.Resume), nil
 	case ReplicasLag:
 		s.lagReplicas(laggedBy)
 		return healed(func() { s.lagReplicas(s.cfg.Lag) }), nil
--- a/internal/trial/gap_test.go
+++ b/internal/trial/gap_test.go
@@ -12,7 +12,7 @@
 
 // BenchmarkFailoverGap reports the distribution of the gap over b.N seeds; run it with -benchtime 20x.
 func BenchmarkFailoverGap(b *testing.B) {
-	for _, f := range []Fault{PrimaryCrash, PrimaryCut} {
+	for _, f := range []Fault{PrimaryCrash, PrimaryCut, PrimaryPause} {
 		b.Run(string(f), func(b *testing.B) {
 			var gaps []clock.Millis
 			var sum Parts
--- a/internal/trial/report.go
+++ b/internal/trial/report.go
@@ -48,17 +48,19 @@
 }
 
 // primaryFails tells the faults after which a failover gap is measured.
-func (f Fault) primaryFails() bool { return f == PrimaryCrash || f == PrimaryCut }
+func (f Fault) primaryFails() bool {
+	return f == PrimaryCrash || f == PrimaryCut || f == PrimaryPause
+}
 
-// gap is the time from the fault to the first acknowledgement of a write that began after it; nil when there was none.
-func gap(h *History, fault clock.Millis) *clock.Millis {
+// gap is the time from the fault to the first acknowledgement of a write that began once the fault was complete; nil when there was none.
+func gap(h *History, fault outage) *clock.Millis {
 	var best *clock.Millis
 	for i := range h.Writes {
 		w := &h.Writes[i]
-		if w.Fate != Acknowledged || w.Began < fault {
+		if w.Fate != Acknowledged || w.Began <= fault.complete {
 			continue
 		}
-		took := w.Finished - fault
+		took := w.Finished - fault.began
 		if best == nil || took < *best {
 			best = &took
 		}
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -45,7 +45,7 @@
 	if s.cfg.Driver != nil {
 		s.cfg.Driver(l.driver)
 	}
-	began, err := s.play(ctx, l)
+	fault, err := s.play(ctx, l)
 	if err != nil {
 		return nil, err
 	}
@@ -60,8 +60,8 @@
 	r.Losses = Check(h, final)
 	r.tally(h)
 	if s.cfg.Fault.primaryFails() {
-		r.FailoverGap = gap(h, began)
-		r.Parts = s.parts(began)
+		r.FailoverGap = gap(h, fault)
+		r.Parts = s.parts(fault.began)
 	}
 	for _, e := range s.Events {
 		r.count(e.Events())
@@ -71,8 +71,8 @@
 	return r, nil
 }
 
-// play runs the load with the fault in the middle, and returns when the fault began.
-func (s *Stage) play(ctx context.Context, l *load) (clock.Millis, error) {
+// play runs the load with the fault in the middle, and returns when that was.
+func (s *Stage) play(ctx context.Context, l *load) (outage, error) {
 	within, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
@@ -81,14 +81,14 @@
 		l.run(within, s.cfg.Sessions, s.cfg.Seed)
 	}()
 	end := s.clk.After(s.cfg.Length)
-	began, err := s.inject(ctx, s.cfg.Length)
+	fault, err := s.inject(ctx, s.cfg.Length)
 	select {
 	case <-end:
 	case <-ctx.Done():
 	}
 	cancel()
 	<-done
-	return began, err
+	return fault, err
 }
 
 // awaitReady waits until every daemon serves.
