--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -46,7 +46,8 @@
 	tests := []struct{ sql, code string }{{writeSQL, "08007"}, {readSQL, "57014"}}
 	for _, tt := range tests {
 		m := clock.NewManual(1)
-		h := newHarness(t, withClock(m))
+		// The clock runs on while the answer is written, which is not what times out here.
+		h := newHarness(t, withClock(m), func(c *Config, _ *Seams) { c.WriteTimeout = 1 << 40 })
 		h.everywhere(tt.sql, silent)
 		c := h.dial(pgx.QueryExecModeExec)
 		got := make(chan error, 1)
