--- a/internal/trial/run_test.go
+++ b/internal/trial/run_test.go
@@ -11,7 +11,7 @@
 )
 
 // trialLength is the length of a trial in tests, in milliseconds.
-const trialLength clock.Millis = 1500
+const trialLength clock.Millis = 2700
 
 func TestNoLossUnderFaults(t *testing.T) {
 	for _, f := range Faults() {
