--- a/internal/connection/caller/bench_test.go
+++ b/internal/connection/caller/bench_test.go
@@ -72,3 +72,37 @@
 	})
 	b.Run("through", func(b *testing.B) { benchmark(b, h.url(), readSQL, pgx.QueryExecModeSimpleProtocol) })
 }
+
+// BenchmarkCallers keeps several callers busy at once, for the statements a second that the server relays.
+func BenchmarkCallers(b *testing.B) {
+	h := newHarness(b)
+	for _, f := range append([]*fakeTarget{h.primary}, h.replicas...) {
+		f.unlogged = true
+	}
+	paths := []struct{ name, url string }{
+		{"straight", "postgres://proxy@" + h.replicas[0].l.Addr().String() + "/shop?sslmode=disable"},
+		{"through", h.url()},
+	}
+	for _, p := range paths {
+		b.Run(p.name, func(b *testing.B) {
+			b.SetParallelism(2)
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				ctx := context.Background()
+				c, err := pgx.Connect(ctx, p.url)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				defer c.Close(ctx)
+				for pb.Next() {
+					if _, err := c.Exec(ctx, readSQL, pgx.QueryExecModeCacheStatement); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
+		})
+	}
+}
--- a/internal/connection/caller/harness_test.go
+++ b/internal/connection/caller/harness_test.go
@@ -65,7 +65,7 @@
 	h.primary.followers = h.replicas
 	clk := clock.System()
 	for _, f := range append([]*fakeTarget{h.primary}, h.replicas...) {
-		p := target.NewPool(target.Address{HostPort: f.l.Addr().String(), User: "proxy", Database: "shop"}, target.PoolConfig{Maximum: 8, Clock: clk})
+		p := target.NewPool(target.Address{HostPort: f.l.Addr().String(), User: "proxy", Database: "shop"}, target.PoolConfig{Maximum: 32, Clock: clk})
 		h.pools[f] = p
 		tb.Cleanup(p.Close)
 	}
--- a/internal/connection/caller/session_test.go
+++ b/internal/connection/caller/session_test.go
@@ -242,3 +242,20 @@
 		t.Errorf("got %d reads at the replica, want 1", got)
 	}
 }
+
+// TestManyPreparedStatements prepares more than a target connection keeps, so that early ones give way and come back.
+func TestManyPreparedStatements(t *testing.T) {
+	h := newHarness(t)
+	c := h.dial(pgx.QueryExecModeCacheStatement)
+	for range 2 {
+		for i := range 300 {
+			sql := fmt.Sprintf("select %d /*request='item.read'*/", i)
+			if _, err := c.Exec(context.Background(), sql, pgx.QueryExecModeCacheStatement); err != nil {
+				t.Fatalf("got %v on %q, want none", err, sql)
+			}
+		}
+	}
+	if got := h.replicas[0].ran("item.read"); got != 600 {
+		t.Errorf("got %d runs, want 600", got)
+	}
+}
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -12,6 +12,9 @@
 // ErrPoolClosed means that the pool hands out no more connections.
 var ErrPoolClosed = errors.New("pool is closed")
 
+// ErrPoolBusy means that no connection came free in time, which tells nothing of the target.
+var ErrPoolBusy = errors.New("all target connections are in use")
+
 // PoolConfig bounds a pool.
 type PoolConfig struct {
 	// Minimum is how many connections Warm keeps open.
@@ -70,7 +73,7 @@
 		select {
 		case <-wait:
 		case <-ctx.Done():
-			return nil, fmt.Errorf("wait for target connection: %w", ctx.Err())
+			return nil, fmt.Errorf("%w: %w", ErrPoolBusy, ctx.Err())
 		}
 	}
 }
