config: let tests notice a spent budget, other data centres and a resumed watch

Cause: of eleven deliberate faults in the holder three went unnoticed: members of other data centres counted as watchers, a resumed watch without a new list, calls made without budget. Change: a case for each; the store and the harness of the tests have their own file.

--- /dev/null
+++ b/internal/process/config/harness_test.go
@@ -0,0 +1,185 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cactusfork/cactusfork/internal/process/peer"
+	"github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// fakeStore is a platform under a test's control; it keeps one object for each key.
+type fakeStore struct {
+	mu      sync.Mutex
+	objects map[platform.Key]platform.Object
+	version platform.Version
+	down    bool
+	hasty   bool
+	lists   int
+	watches int
+	changed chan struct{}
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{objects: map[platform.Key]platform.Object{}, changed: make(chan struct{})}
+}
+
+func (f *fakeStore) store() *platform.Store {
+	return &platform.Store{List: f.list, Watch: f.watch}
+}
+
+// change runs do and wakes the watches.
+func (f *fakeStore) change(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeStore) put(key platform.Key, value string) {
+	f.change(func() {
+		f.version++
+		f.objects[key] = object(key, f.version, value)
+	})
+}
+
+// reset replaces the store by one that holds a single object of a version.
+func (f *fakeStore) reset(o platform.Object) {
+	f.change(func() {
+		f.version = o.Version
+		f.objects = map[platform.Key]platform.Object{o.Key: o}
+	})
+}
+
+func (f *fakeStore) setDown(down bool) { f.change(func() { f.down = down }) }
+
+func (f *fakeStore) list(context.Context, platform.Key) ([]platform.Object, platform.Version, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lists++
+	if f.down {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return f.after(0), f.version, nil
+}
+
+func (f *fakeStore) asked() (lists, watches int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lists, f.watches
+}
+
+func (f *fakeStore) after(from platform.Version) []platform.Object {
+	var out []platform.Object
+	for _, o := range f.objects {
+		if o.Version > from {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (f *fakeStore) watch(ctx context.Context, _ platform.Key, from platform.Version) ([]platform.Object, platform.Version, error) {
+	f.mu.Lock()
+	f.watches++
+	f.mu.Unlock()
+	for {
+		f.mu.Lock()
+		out, version, down, hasty, changed := f.after(from), f.version, f.down, f.hasty, f.changed
+		f.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, platform.ErrUnavailable
+		case len(out) > 0 || version < from || hasty:
+			return out, version, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// harness is a running holder.
+type harness struct {
+	*Holder
+	clk   *clock.Manual
+	store *fakeStore
+	mu    sync.Mutex
+	live  []peer.Member
+	// looked counts the looks at live since it was set.
+	looked int
+}
+
+func (h *harness) setLive(live []peer.Member) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.live = live
+	h.looked = 0
+}
+
+func (h *harness) looks() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.looked
+}
+
+func run(t *testing.T, store *fakeStore, live []peer.Member, peers func() ([]platform.Object, error)) *harness {
+	t.Helper()
+	h := &harness{store: store, live: live}
+	h.Holder, h.clk = newTestHolder(Seams{
+		Store: store.store(),
+		Live: func() []peer.Member {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.looked++
+			return h.live
+		},
+		FetchFromPeers: func(context.Context) ([]platform.Object, error) { return peers() },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = h.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return h
+}
+
+// holds advances the clock until key has value; the test binary's timeout ends a wait in vain.
+func (h *harness) holds(key platform.Key, value string) {
+	h.until(func() bool {
+		o, ok := h.Snapshot().Get(key)
+		return ok && string(o.Value) == value
+	})
+}
+
+func (h *harness) until(ok func() bool) {
+	for !ok() {
+		h.clk.Advance(100)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func noPeers() ([]platform.Object, error) { return nil, peer.ErrNoPeers }
+
+// others returns live members of which just enough outrank d1 that it does not watch.
+func others() []peer.Member {
+	var live []peer.Member
+	h, _ := newTestHolder(Seams{Live: func() []peer.Member { return live }})
+	for i := 0; h.Watches(); i++ {
+		live = append(live, peer.Member{ID: group.DaemonID(fmt.Sprint("other-", i)), DataCentre: "dc-1"})
+	}
+	return live
+}
--- a/internal/process/config/run_test.go
+++ b/internal/process/config/run_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"testing"
-	"time"
 
 	"pgregory.net/rapid"
 
@@ -15,156 +13,6 @@
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
-// fakeStore is a platform under a test's control; it keeps one object for each key.
-type fakeStore struct {
-	mu      sync.Mutex
-	objects map[platform.Key]platform.Object
-	version platform.Version
-	down    bool
-	lists   int
-	changed chan struct{}
-}
-
-func newFakeStore() *fakeStore {
-	return &fakeStore{objects: map[platform.Key]platform.Object{}, changed: make(chan struct{})}
-}
-
-func (f *fakeStore) store() *platform.Store {
-	return &platform.Store{List: f.list, Watch: f.watch}
-}
-
-// change runs do and wakes the watches.
-func (f *fakeStore) change(do func()) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	do()
-	close(f.changed)
-	f.changed = make(chan struct{})
-}
-
-func (f *fakeStore) put(key platform.Key, value string) {
-	f.change(func() {
-		f.version++
-		f.objects[key] = object(key, f.version, value)
-	})
-}
-
-// reset replaces the store by one that holds a single object of a version.
-func (f *fakeStore) reset(o platform.Object) {
-	f.change(func() {
-		f.version = o.Version
-		f.objects = map[platform.Key]platform.Object{o.Key: o}
-	})
-}
-
-func (f *fakeStore) setDown(down bool) { f.change(func() { f.down = down }) }
-
-func (f *fakeStore) list(context.Context, platform.Key) ([]platform.Object, platform.Version, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lists++
-	if f.down {
-		return nil, 0, platform.ErrUnavailable
-	}
-	return f.after(0), f.version, nil
-}
-
-func (f *fakeStore) after(from platform.Version) []platform.Object {
-	var out []platform.Object
-	for _, o := range f.objects {
-		if o.Version > from {
-			out = append(out, o)
-		}
-	}
-	return out
-}
-
-func (f *fakeStore) watch(ctx context.Context, _ platform.Key, from platform.Version) ([]platform.Object, platform.Version, error) {
-	for {
-		f.mu.Lock()
-		out, version, down, changed := f.after(from), f.version, f.down, f.changed
-		f.mu.Unlock()
-		switch {
-		case down:
-			return nil, 0, platform.ErrUnavailable
-		case len(out) > 0 || version < from:
-			return out, version, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil, 0, ctx.Err()
-		}
-	}
-}
-
-// harness is a running holder.
-type harness struct {
-	*Holder
-	clk   *clock.Manual
-	store *fakeStore
-	mu    sync.Mutex
-	live  []peer.Member
-}
-
-func (h *harness) setLive(live []peer.Member) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.live = live
-}
-
-func run(t *testing.T, store *fakeStore, live []peer.Member, peers func() ([]platform.Object, error)) *harness {
-	t.Helper()
-	h := &harness{store: store, live: live}
-	h.Holder, h.clk = newTestHolder(Seams{
-		Store: store.store(),
-		Live: func() []peer.Member {
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			return h.live
-		},
-		FetchFromPeers: func(context.Context) ([]platform.Object, error) { return peers() },
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_ = h.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
-	return h
-}
-
-// holds advances the clock until key has value; the test binary's timeout ends a wait in vain.
-func (h *harness) holds(key platform.Key, value string) {
-	h.until(func() bool {
-		o, ok := h.Snapshot().Get(key)
-		return ok && string(o.Value) == value
-	})
-}
-
-func (h *harness) until(ok func() bool) {
-	for !ok() {
-		h.clk.Advance(100)
-		time.Sleep(time.Millisecond)
-	}
-}
-
-func noPeers() ([]platform.Object, error) { return nil, peer.ErrNoPeers }
-
-// others returns live members of which just enough outrank d1 that it does not watch.
-func others() []peer.Member {
-	var live []peer.Member
-	h, _ := newTestHolder(Seams{Live: func() []peer.Member { return live }})
-	for i := 0; h.Watches(); i++ {
-		live = append(live, peer.Member{ID: group.DaemonID(fmt.Sprint("other-", i)), DataCentre: "dc-1"})
-	}
-	return live
-}
-
 func TestFaults(t *testing.T) {
 	tests := []struct {
 		name string
@@ -237,6 +85,25 @@
 			h.setLive(nil)
 			h.holds("groups/a", "x")
 		}},
+		{"this daemon watches again after others did", func(t *testing.T, s *fakeStore) {
+			s.hasty = true
+			h := run(t, s, nil, noPeers)
+			h.until(func() bool { lists, _ := s.asked(); return lists == 1 })
+			h.setLive(others())
+			h.until(func() bool { return h.looks() > 1 })
+			h.setLive(nil)
+			h.until(func() bool { lists, _ := s.asked(); return lists == 2 })
+		}},
+		{"platform ends watches at once", func(t *testing.T, s *fakeStore) {
+			s.hasty = true
+			h := run(t, s, nil, noPeers)
+			h.until(func() bool { return h.Counts().Refused > 20 })
+			lists, watches := s.asked()
+			most := h.cfg.Burst + int(h.cfg.CallsPerSecond*float64(h.clk.Now()/clock.Second+1))
+			if lists+watches > most {
+				t.Errorf("got %d calls, want at most %d", lists+watches, most)
+			}
+		}},
 		{"object is deleted", func(t *testing.T, s *fakeStore) {
 			s.put("groups/a", "x")
 			h := run(t, s, nil, noPeers)
@@ -256,10 +123,12 @@
 
 func TestTwoOfADataCentreWatch(t *testing.T) {
 	live := append(others(), peer.Member{ID: "d1", DataCentre: "dc-1"})
-	live = append(live, peer.Member{ID: "elsewhere", DataCentre: "dc-2"})
 	watching := 0
-	for i, m := range live[:len(live)-1] {
+	for i, m := range live {
 		rest := append(append([]peer.Member{}, live[:i]...), live[i+1:]...)
+		for j := range 2000 {
+			rest = append(rest, peer.Member{ID: group.DaemonID(fmt.Sprint("far-", j)), DataCentre: "dc-2"})
+		}
 		h := New(Defaults(m.ID, "dc-1"), clock.System(), Seams{Live: func() []peer.Member { return rest }})
 		if h.Watches() {
 			watching++
