peer: take a default period where none is configured

Cause: a period of 0 would have made the mesh probe without a pause. Conclusion: the packages' checks pass.

--- a/internal/process/peer/mesh.go
+++ b/internal/process/peer/mesh.go
@@ -19,14 +19,17 @@
 // ErrNoPeers is returned when no peer answered.
 var ErrNoPeers = errors.New("no peer answered")
 
+// DefaultPeriod is the time between two rounds of probes where none is configured.
+const DefaultPeriod = clock.Second / 2
+
 // Config says who this daemon is among its peers.
 type Config struct {
 	ID         group.DaemonID
 	Address    string
 	DataCentre group.DataCentre
-	// Period is the time between two rounds of probes.
+	// Period is the time between two rounds of probes and bounds each call; 0 means DefaultPeriod.
 	Period clock.Millis
-	// TLS makes the peers' connections mutual TLS; nil means cleartext.
+	// TLS is used for calls to peers, with this daemon's certificate for mutual TLS; nil means cleartext.
 	TLS *tls.Config
 }
 
@@ -68,6 +71,9 @@
 
 // New returns a mesh that is not running yet.
 func New(cfg Config, clk *clock.Clock, s Seams) *Mesh {
+	if cfg.Period <= 0 {
+		cfg.Period = DefaultPeriod
+	}
 	self := Member{
 		ID:          cfg.ID,
 		Address:     cfg.Address,
