caller: let cancels into a full server and no caller past a drain

A server at its limit of connections refused cancel requests as well; the limit counts sessions now, with some room for connections that start up. A caller accepted just before the end of Serve's context could enlist behind the drain's look at all callers, and Serve would then have waited for it for ever; found by reading, and tested at the place where it enlists.

--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -45,6 +45,8 @@
 	// skipping is true from an error behind a Flush up to the next Sync.
 	skipping bool
 	key      cancelKey
+	// admitted is guarded by the server's mu.
+	admitted bool
 
 	mu    sync.Mutex
 	phase phase
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -24,8 +24,14 @@
 	conns map[uint32]*conn
 	// lastID numbers connections, as the process id of their cancel key.
 	lastID uint32
+	// sessions is how many callers have sent their startup message.
+	sessions int
+	draining bool
 }
 
+// startupHeadroom is how many connections may be starting up beyond the limit: a cancel must get through to a full server.
+const startupHeadroom = 16
+
 // New returns a server that serves nothing yet.
 func New(cfg Config, s Seams) *Server {
 	return &Server{cfg: cfg.withDefaults(), seams: s, conns: map[uint32]*conn{}}
@@ -76,8 +82,8 @@
 
 func (s *Server) serve(ctx context.Context, wire net.Conn) {
 	c := s.newConn(wire)
-	if !s.enlist(c) {
-		c.sendFatal(refusal.Overloaded("too many connections"))
+	if err := s.enlist(c); err != nil {
+		c.sendFatal(err)
 		c.end()
 		return
 	}
@@ -98,24 +104,44 @@
 	return c
 }
 
-// enlist counts the connection and gives it its cancel key, unless there are too many.
-func (s *Server) enlist(c *conn) bool {
+// enlist counts the connection and gives it its cancel key, unless there are too many or the server goes.
+func (s *Server) enlist(c *conn) *refusal.Error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= s.cfg.MaxConnections {
-		return false
+	if s.draining {
+		return refusal.Draining("proxy is going")
+	}
+	if len(s.conns) >= s.cfg.MaxConnections+startupHeadroom {
+		return tooMany()
 	}
 	for s.lastID++; s.lastID == 0 || s.conns[s.lastID] != nil; s.lastID++ {
 	}
 	c.key = newCancelKey(s.lastID)
 	s.conns[s.lastID] = c
-	return true
+	return nil
+}
+
+// admit counts a caller as soon as it wants a session, unless there are too many.
+func (s *Server) admit(c *conn) *refusal.Error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions >= s.cfg.MaxConnections {
+		return tooMany()
+	}
+	s.sessions++
+	c.admitted = true
+	return nil
 }
 
+func tooMany() *refusal.Error { return refusal.Overloaded("too many connections") }
+
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c.key.id)
+	if c.admitted {
+		s.sessions--
+	}
 }
 
 // all returns the connections of this moment.
@@ -146,6 +172,9 @@
 		served.Wait()
 		close(gone)
 	}()
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
 	for _, c := range s.all() {
 		c.interrupt()
 	}
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -115,6 +115,10 @@
 	if got := h.server.Active(); got != 0 {
 		t.Errorf("got %d callers, want 0", got)
 	}
+	// One that was accepted just before the end must not be left behind.
+	if err := h.server.enlist(h.server.newConn(nil)); err == nil || err.Code != "57P01" {
+		t.Errorf("got %v for a late caller, want 57P01", err)
+	}
 }
 
 func TestDrainTimeout(t *testing.T) {
--- a/internal/connection/caller/startup.go
+++ b/internal/connection/caller/startup.go
@@ -47,6 +47,9 @@
 	if err != nil {
 		return err
 	}
+	if refused := c.server.admit(c); refused != nil {
+		return refused
+	}
 	parameters := maps.Clone(m.Parameters)
 	minor := m.ProtocolVersion & 0xffff
 	name, err := c.identify(parameters)
--- a/internal/connection/caller/startup_test.go
+++ b/internal/connection/caller/startup_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/big"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -128,11 +129,19 @@
 
 func TestConnectionLimit(t *testing.T) {
 	h := newHarness(t, func(c *Config, _ *Seams) { c.MaxConnections = 1 })
-	h.dial(pgx.QueryExecModeExec)
+	c := h.dial(pgx.QueryExecModeExec)
 	_, err := pgx.Connect(context.Background(), h.url())
 	if got := codeOf(err); got != "53300" {
 		t.Errorf("got %q, want 53300", got)
 	}
+	if err := c.PgConn().CancelRequest(context.Background()); err != nil {
+		t.Errorf("got %v on a cancel to a full server, want none", err)
+	}
+	c.Close(context.Background())
+	for h.server.Active() > 0 {
+		runtime.Gosched()
+	}
+	h.dial(pgx.QueryExecModeExec)
 }
 
 func TestMalformedStartup(t *testing.T) {
