caller: confirm what commits by itself behind a rollback in the same exchange

In a transaction, ROLLBACK followed by a write in one exchange was acknowledged without a majority, since the rollback's tag stood for the whole exchange, and called not run when the target was lost. Both are held to what a commit is now. The tests fail without the change: 0 confirms for 1, 08006 for 08007.

--- a/internal/connection/caller/attempt.go
+++ b/internal/connection/caller/attempt.go
@@ -152,7 +152,7 @@
 		return false
 	}
 	if a.c.tx.open {
-		return x.has(session.Commit)
+		return x.mayCommit()
 	}
 	return !x.has(session.Begin)
 }
@@ -196,7 +196,7 @@
 		return a.again(refusal.NoPrimary("target does not answer"))
 	case !a.sent && !c.tx.open:
 		return verdict{kind: failed, err: c.interrupted()}
-	case c.tx.open && (!a.sent || !c.exchange.has(session.Commit)):
+	case c.tx.open && (!a.sent || !c.exchange.mayCommit()):
 		return a.lostTransaction(cut)
 	case a.safe() && !c.answer.forwarded && a.first && !cut:
 		return a.again(unanswered("read was cut off"))
--- a/internal/connection/caller/conclude.go
+++ b/internal/connection/caller/conclude.go
@@ -18,7 +18,7 @@
 		c.giveBack(false, Lost, "")
 		return errGone
 	}
-	inTx := c.tx.open && !c.exchange.has(session.Commit)
+	inTx := c.tx.open && !c.exchange.mayCommit()
 	ends := c.endsByRollback()
 	c.giveBack(v.reuse && !c.tx.open, resultOf(v.err), v.err.Code)
 	c.session.Settings().Rollback()
@@ -95,7 +95,7 @@
 		c.report(c.outcome(Refused, refused.Code))
 	}
 	c.session.Settings().Rollback()
-	inTx := c.tx.open && !c.exchange.has(session.Commit)
+	inTx := c.tx.open && !c.exchange.mayCommit()
 	c.tx = transaction{open: inTx, failed: inTx}
 	return c.sendError(refused)
 }
--- a/internal/connection/caller/exchange.go
+++ b/internal/connection/caller/exchange.go
@@ -125,6 +125,11 @@
 	return false
 }
 
+// mayCommit reports whether the exchange, inside a transaction, ends with something committed: by a COMMIT, or by itself behind a ROLLBACK.
+func (x *exchange) mayCommit() bool {
+	return x.has(session.Commit) || len(x.runs) > 1 && x.has(session.Rollback)
+}
+
 // reads reports whether all statements read by their form.
 func (x *exchange) reads() bool {
 	for i := range x.runs {
--- a/internal/connection/caller/run.go
+++ b/internal/connection/caller/run.go
@@ -78,7 +78,7 @@
 			return c.conclude(v)
 		}
 		o.Avoid = append(o.Avoid, lease.Target)
-		c.giveBack(v.reuse, 0, "")
+		c.giveBack(v.reuse, 0, v.err.Code)
 		c.answer.reset()
 	}
 }
--- a/internal/connection/caller/settle.go
+++ b/internal/connection/caller/settle.go
@@ -19,6 +19,11 @@
 		if a.demoted(place, err) {
 			return verdict{kind: failed, err: refusal.NoPrimary("target is no longer primary"), reuse: reuse}
 		}
+		if a.noRoom() {
+			v := a.again(refusal.Overloaded("target has no free slot"))
+			v.reuse = v.reuse && reuse
+			return v
+		}
 		return verdict{kind: answered, reuse: reuse}
 	}
 	if err != nil || !place.Primary || place.Applied.Term != a.term {
@@ -45,7 +50,8 @@
 	case ans.status != 'I' || ans.errored:
 		return false
 	default:
-		return !a.c.tx.open || !ans.rolledBack
+		// What follows a ROLLBACK in the same exchange commits by itself.
+		return !a.c.tx.open || !ans.rolledBack || len(a.c.exchange.runs) > 1
 	}
 }
 
@@ -77,6 +83,12 @@
 	return err == nil && a.behind && !place.Primary && ans.code == readOnlyCode && !ans.forwarded && !a.c.tx.open
 }
 
+// noRoom reports whether the target refused the exchange for want of a slot, so that nothing of it took effect.
+func (a *attempt) noRoom() bool {
+	ans := &a.c.answer
+	return ans.code == refusal.OverloadedCode && ans.status == 'I' && !ans.forwarded && !ans.committed && a.first && !a.c.tx.open
+}
+
 // unconfirmed is the verdict when no majority is known to hold what was seen or written.
 func (a *attempt) unconfirmed(reuse bool) verdict {
 	cut := a.c.ctx.Err() != nil
--- a/internal/connection/caller/transaction_test.go
+++ b/internal/connection/caller/transaction_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
@@ -55,6 +56,7 @@
 		{"first statement", "insert first", "08006", "not run"},
 		{"second statement", "insert second", "08006", "not run"},
 		{"commit", "commit", "08007", ""},
+		{"behind a rollback", "insert third", "08007", ""},
 	}
 	for _, tt := range tests {
 		for mode, m := range modes {
@@ -64,11 +66,14 @@
 				c := h.dial(m)
 				ctx := context.Background()
 				var failed error
-				for _, sql := range []string{"begin", "insert first", "insert second", "commit"} {
+				for _, sql := range []string{"begin", "insert first", "insert second", "commit", "begin", "insert more"} {
 					if _, failed = c.Exec(ctx, sql); failed != nil {
 						break
 					}
 				}
+				if failed == nil {
+					_, failed = c.Exec(ctx, "rollback; insert third", pgx.QueryExecModeSimpleProtocol)
+				}
 				if got := codeOf(failed); got != tt.code {
 					t.Errorf("got %q, want %q", got, tt.code)
 				}
@@ -94,6 +99,39 @@
 	}
 }
 
+// TestConfirmedExchanges counts what has to be confirmed: all that may have committed, and nothing else.
+func TestConfirmedExchanges(t *testing.T) {
+	tests := []struct {
+		list []string
+		want int
+	}{
+		{[]string{"insert a"}, 1},
+		{[]string{"insert fails"}, 0},
+		{[]string{"begin", "insert a"}, 0},
+		{[]string{"begin", "insert a", "rollback"}, 0},
+		{[]string{"begin", "insert a", "rollback; insert b"}, 1},
+		{[]string{"begin", "insert a", "commit; insert fails"}, 1},
+		{[]string{"begin; insert a; commit"}, 1},
+		{[]string{"begin; insert a"}, 0},
+		{[]string{"insert a; insert fails"}, 0},
+		{[]string{"begin", "insert fails", "commit"}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(strings.Join(tt.list, "|"), func(t *testing.T) {
+			h := newHarness(t)
+			c := h.dial(pgx.QueryExecModeSimpleProtocol)
+			for _, sql := range tt.list {
+				if _, err := c.Exec(context.Background(), sql); err != nil && codeOf(err) != "23505" {
+					t.Errorf("got %v on %q, want none or 23505", err, sql)
+				}
+			}
+			if got := len(h.confirmed); got != tt.want {
+				t.Errorf("got %d confirms, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
 func TestReadTransactionAtReplica(t *testing.T) {
 	h := newHarness(t)
 	c := h.dial(pgx.QueryExecModeExec)
