entry: share connections and keep them warm; trial: scarce slots

Cause: every daemon could open all of a target's connections, none were opened ahead of need on replicas, and a pool without a free place was reported as a failed target.

--- a/internal/process/entry/daemon.go
+++ b/internal/process/entry/daemon.go
@@ -117,6 +117,7 @@
 	wg.Go(func() { d.watchVMs(inner) })
 	wg.Go(func() { d.count(inner) })
 	wg.Go(func() { d.share(inner) })
+	wg.Go(func() { d.warm(inner) })
 	wg.Go(func() { d.serveHTTP(inner, d.p.Peers, d.peerHandler(), d.p.Access.PeerTLS) })
 	wg.Go(func() { d.serveHTTP(inner, d.p.Admin, d.adminHandler(), d.p.Access.AdminTLS) })
 	leaving := context.AfterFunc(ctx, func() { d.leave(inner) })
--- a/internal/process/entry/quest.go
+++ b/internal/process/entry/quest.go
@@ -119,7 +119,7 @@
 	defer cancel()
 	conn, err := q.r.targets.pool(t, string(q.svc.Name)).Get(within)
 	if err != nil {
-		q.r.failed(ctx, q.svc.Group, t.ID, err)
+		q.r.failed(ctx, q.svc.Group, t, err)
 		return nil
 	}
 	return conn
--- a/internal/process/entry/router.go
+++ b/internal/process/entry/router.go
@@ -124,11 +124,16 @@
 	return nil
 }
 
-// failed tells the control loop what traffic met at a target, unless the target merely refused.
-func (r *router) failed(ctx context.Context, id group.ID, t group.TargetID, err error) {
+// failed learns from a connection that could not be had: a target that refused it for want of room is up.
+func (r *router) failed(ctx context.Context, id group.ID, t *group.Target, err error) {
 	var said *target.ServerError
-	if errors.As(err, &said) || errors.Is(err, context.Canceled) {
-		return
+	switch {
+	case errors.As(err, &said):
+		if said.Code == slotsFullCode {
+			r.targets.desk(t).refused(r.clk.Now())
+		}
+	case errors.Is(err, target.ErrPoolBusy), errors.Is(err, context.Canceled), ctx.Err() != nil:
+	default:
+		r.loop.Failed(ctx, id, t.ID, probe.CauseOf(err))
 	}
-	r.loop.Failed(ctx, id, t, probe.CauseOf(err))
 }
--- a/internal/process/entry/shares.go
+++ b/internal/process/entry/shares.go
@@ -3,14 +3,23 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+
 	"github.com/cactusfork/cactusfork/internal/process/peer"
 	"github.com/cactusfork/cactusfork/internal/request/limit"
+	"github.com/cactusfork/cactusfork/internal/request/route"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
-// shareEvery is the time between two adjustments of the shares, in milliseconds.
-const shareEvery clock.Millis = 100
+const (
+	// shareEvery is the time between two adjustments of the shares, in milliseconds.
+	shareEvery clock.Millis = 100
+	// warmEvery is the time between two looks for pools to warm, in milliseconds.
+	warmEvery clock.Millis = 500
+	// controlConnections are kept back of a target's connections for the questions and orders of each daemon.
+	controlConnections = 2
+)
 
 // share divides the slots of every target among the live daemons until ctx ends.
 func (d *Daemon) share(ctx context.Context) {
@@ -26,15 +35,44 @@
 	}
 }
 
-// divide sets this daemon's share of the slots of t.
+// divide sets this daemon's share of the slots and of the connections of t.
 func (d *Daemon) divide(now clock.Millis, t *group.Target, live []peer.Member) {
 	desk := d.targets.desk(t)
 	demands := []limit.Demand{{Daemon: d.cfg.ID, Want: desk.wanted()}}
 	for _, m := range live {
 		demands = append(demands, limit.Demand{Daemon: m.ID, Want: wantOf(m, t.ID)})
 	}
-	pool := limit.Pool{Target: t.ID, Total: t.Slots}
-	desk.setShare(now, pool.Share(d.cfg.ID, demands))
+	slots := limit.Pool{Target: t.ID, Total: t.Slots}
+	desk.setShare(now, slots.Share(d.cfg.ID, demands))
+	connections := limit.Pool{Target: t.ID, Total: t.Connections, Reserve: controlConnections * len(demands)}
+	d.targets.resize(t.Address, connections.Share(d.cfg.ID, demands))
+}
+
+// warm opens connections ahead of need, also to replicas, one of which may become primary, until ctx ends.
+func (d *Daemon) warm(ctx context.Context) {
+	for d.p.Clock.Sleep(ctx, warmEvery) == nil {
+		snap := d.loop.Snapshot()
+		for _, svc := range snap.Services {
+			if c, ok := snap.Groups[svc.Group]; ok {
+				d.warmGroup(ctx, c.View(), string(svc.Name))
+			}
+		}
+	}
+}
+
+func (d *Daemon) warmGroup(ctx context.Context, v *route.View, database string) {
+	for i := range v.Targets {
+		t := &v.Targets[i]
+		if t.Down || t.Leaving {
+			continue
+		}
+		within, cancel := context.WithTimeout(ctx, d.cfg.Targets.DialTimeout.Duration())
+		err := d.targets.pool(&t.Target, database).Warm(within)
+		cancel()
+		if err != nil {
+			d.p.Log.Debug("warm connections", zap.String("target", string(t.ID)), zap.Error(err))
+		}
+	}
 }
 
 func wantOf(m peer.Member, id group.TargetID) int {
--- a/internal/process/entry/targets.go
+++ b/internal/process/entry/targets.go
@@ -93,6 +93,22 @@
 	return d.gate.Load()
 }
 
+// resize divides n connections to an address among its pools, each of which keeps one at least.
+func (s *targets) resize(address string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var pools []*target.Pool
+	for key, p := range s.pools {
+		if key.address == address {
+			pools = append(pools, p)
+		}
+	}
+	for _, p := range pools {
+		most := max(n/len(pools), 1)
+		p.Resize(min(s.cfg.Warm, most), most)
+	}
+}
+
 // connections is the number of open connections to an address.
 func (s *targets) connections(address string) int {
 	s.mu.Lock()
--- a/internal/trial/config.go
+++ b/internal/trial/config.go
@@ -48,6 +48,16 @@
 	Policy entry.Policy
 	// Sessions is the number of sessions at work at a time.
 	Sessions int
+	// Daemons is the number of daemons.
+	Daemons int
+	// Slots and Connections are what each target has of them.
+	Slots       int
+	Connections int
+	// StatementTime is how long a statement holds a slot; ConnectDelay is what a new connection costs.
+	StatementTime clock.Millis
+	ConnectDelay  clock.Millis
+	// ThinkTime bounds the pause between two requests of a session.
+	ThinkTime clock.Millis
 	// Lag is the time between receiving and applying on replicas.
 	Lag clock.Millis
 	// Alter lets a test break what a daemon promises.
@@ -59,8 +69,14 @@
 }
 
 const (
-	// daemons is the number of daemons of a trial.
-	daemons = 3
+	// defaultDaemons is the number of daemons unless configured.
+	defaultDaemons = 3
+	// defaultSlots and defaultConnections are those of a target unless configured.
+	defaultSlots       = 5
+	defaultConnections = 30
+	// defaultConnectDelay and defaultThinkTime are in milliseconds.
+	defaultConnectDelay clock.Millis = 10
+	defaultThinkTime    clock.Millis = 8
 	// members is the number of targets of a trial's group.
 	members = 3
 	// defaultSessions is the number of sessions unless configured.
@@ -73,12 +89,13 @@
 	if c.Listen == "" {
 		c.Listen = "127.0.0.1:0"
 	}
-	if c.Sessions == 0 {
-		c.Sessions = defaultSessions
-	}
-	if c.Lag == 0 {
-		c.Lag = defaultLag
-	}
+	orDefault(&c.Sessions, defaultSessions)
+	orDefault(&c.Daemons, defaultDaemons)
+	orDefault(&c.Slots, defaultSlots)
+	orDefault(&c.Connections, defaultConnections)
+	orDefault(&c.ConnectDelay, defaultConnectDelay)
+	orDefault(&c.ThinkTime, defaultThinkTime)
+	orDefault(&c.Lag, defaultLag)
 	if c.Policy == "" {
 		c.Policy = entry.Default
 	}
@@ -87,3 +104,9 @@
 	}
 	return c
 }
+
+func orDefault[T int | clock.Millis](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -15,6 +15,7 @@
 	driver    *Driver
 	history   *History
 	book      *book
+	think     clock.Millis
 }
 
 // run keeps n sessions at work until ctx ends; every second one carries a token, and every second pair only reads.
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -41,7 +41,7 @@
 
 func (s *Stage) measure(ctx context.Context) (*Report, error) {
 	h := &History{}
-	l := &load{clk: s.clk, addresses: s.Addresses(), driver: NewDriver(), history: h, book: newBook()}
+	l := &load{clk: s.clk, addresses: s.Addresses(), driver: NewDriver(), history: h, book: newBook(), think: s.cfg.ThinkTime}
 	if s.cfg.Driver != nil {
 		s.cfg.Driver(l.driver)
 	}
--- a/internal/trial/session.go
+++ b/internal/trial/session.go
@@ -16,8 +16,6 @@
 const (
 	// requestLimit is how long a session waits for an answer.
 	requestLimit = 15 * time.Second
-	// thinkMost bounds the pause between two requests of a session, in milliseconds.
-	thinkMost = 8
 	// stayMost bounds the requests of a session on one daemon.
 	stayMost = 6
 	// reviseMost bounds the revisions of one quote.
@@ -56,7 +54,7 @@
 		if r.ready(ctx) {
 			r.request(ctx)
 		}
-		pause := clock.Millis(r.rnd.IntN(thinkMost))
+		pause := clock.Millis(r.rnd.IntN(int(r.load.think)))
 		if r.load.clk.Sleep(ctx, pause) != nil {
 			return
 		}
--- a/internal/trial/stage.go
+++ b/internal/trial/stage.go
@@ -133,12 +133,13 @@
 	s.Network = targetstand.NewNetwork(s.clk)
 	for i := range members {
 		t, err := s.Network.Start(ctx, targetstand.Config{
-			ID:           group.TargetID(fmt.Sprintf("precios-db-1-%c", 'a'+i)),
-			DataCentre:   dataCentres[i],
-			Slots:        5,
-			Connections:  30,
-			ConnectDelay: 10,
-			Lag:          s.cfg.Lag,
+			ID:            group.TargetID(fmt.Sprintf("precios-db-1-%c", 'a'+i)),
+			DataCentre:    dataCentres[i],
+			Slots:         s.cfg.Slots,
+			Connections:   s.cfg.Connections,
+			ConnectDelay:  s.cfg.ConnectDelay,
+			StatementTime: s.cfg.StatementTime,
+			Lag:           s.cfg.Lag,
 		})
 		if err != nil {
 			return fmt.Errorf("start target: %w", err)
@@ -160,7 +161,7 @@
 	rec := group.Record{ID: GroupID, Term: 1, Primary: s.Targets[0].ID()}
 	for i, t := range s.Targets {
 		rec.Targets = append(rec.Targets, group.Target{
-			ID: t.ID(), Address: t.Address(), DataCentre: dataCentres[i], Slots: 5, Connections: 30,
+			ID: t.ID(), Address: t.Address(), DataCentre: dataCentres[i], Slots: s.cfg.Slots, Connections: s.cfg.Connections,
 		})
 	}
 	value, err := json.Marshal(rec)
@@ -194,15 +195,15 @@
 	if err != nil {
 		return fmt.Errorf("make token keys: %w", err)
 	}
-	peers, err := listenAll(daemons, "127.0.0.1:0")
+	peers, err := listenAll(s.cfg.Daemons, "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	callers, err := listenAll(daemons, s.cfg.Listen)
+	callers, err := listenAll(s.cfg.Daemons, s.cfg.Listen)
 	if err != nil {
 		return err
 	}
-	admins, err := listenAll(daemons, "127.0.0.1:0")
+	admins, err := listenAll(s.cfg.Daemons, "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
@@ -210,7 +211,7 @@
 	for _, l := range peers {
 		seeds = append(seeds, l.Addr().String())
 	}
-	for i := range daemons {
+	for i := range s.cfg.Daemons {
 		s.startDaemon(ctx, log, i, &entry.Parts{
 			Tokens: keys, Callers: callers[i], Peers: peers[i], Admin: admins[i],
 		}, seeds)
@@ -227,7 +228,7 @@
 	p.Events = events
 	p.Store = s.Store()
 	p.Access.Alter = s.cfg.Alter
-	cfg := entry.Defaults(id, dataCentres[i])
+	cfg := entry.Defaults(id, dataCentres[i%len(dataCentres)])
 	cfg.Seeds = seeds
 	cfg.Policy = s.cfg.Policy
 	callers := &cuttable{Listener: p.Callers}
