limit, caller: let a request that meets a full target wait for the next try

Change: a statement refused for want of a slot, of which nothing took effect, goes back to the queue; the limiter paces the tries: 20 ms, doubled by every refusal up to 1 s.

--- a/internal/connection/caller/config.go
+++ b/internal/connection/caller/config.go
@@ -114,6 +114,8 @@
 	Arrived clock.Millis
 	// Attempt counts from 0.
 	Attempt int
+	// Code is the SQLSTATE of the error that the last attempt would have ended in.
+	Code string
 	// Avoid are the targets of earlier attempts.
 	Avoid []group.TargetID
 	// Transaction is true when the lease lasts until a transaction ends.
--- a/internal/connection/caller/run.go
+++ b/internal/connection/caller/run.go
@@ -78,6 +78,7 @@
 			return c.conclude(v)
 		}
 		o.Avoid = append(o.Avoid, lease.Target)
+		o.Code = v.err.Code
 		c.giveBack(v.reuse, 0, v.err.Code)
 		c.answer.reset()
 	}
--- a/internal/process/entry/defaults.go
+++ b/internal/process/entry/defaults.go
@@ -4,11 +4,13 @@
 	"github.com/cactusfork/cactusfork/internal/connection/caller"
 	"github.com/cactusfork/cactusfork/internal/process/probe"
 	"github.com/cactusfork/cactusfork/internal/process/settings"
-	"github.com/cactusfork/cactusfork/internal/request/retry"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
+// mostAttempts ends a request that keeps meeting full targets; the retry policy and the deadline end others sooner.
+const mostAttempts = 10_000
+
 // Defaults returns the configuration of a daemon with the customary bounds.
 func Defaults(id group.DaemonID, place group.DataCentre) Config {
 	return Config{
@@ -22,7 +24,7 @@
 			IdleTimeout: 60 * clock.Second,
 			Queue:       512,
 		},
-		Callers:     caller.Config{DataCentre: place, RequestTimeout: 10 * clock.Second, MaxConnections: 5000, MaxAttempts: retry.MaxTries},
+		Callers:     caller.Config{DataCentre: place, RequestTimeout: 10 * clock.Second, MaxConnections: 5000, MaxAttempts: mostAttempts},
 		Probe:       probe.Settings{Interval: 100, Timeout: 250, Pause: probePause},
 		Machine:     group.DefaultSettings(),
 		Period:      250,
--- a/internal/process/entry/router.go
+++ b/internal/process/entry/router.go
@@ -92,6 +92,10 @@
 		r.retries.Budget.Fresh()
 		return nil
 	}
+	// The limiter bounds how often a full target is asked; the request waits for a slot like the others.
+	if o.Code == slotsFullCode {
+		return nil
+	}
 	a := retry.Attempt{Request: n.Request, Tries: o.Attempt, Deadline: n.Deadline}
 	d := r.retries.Decide(r.clk.Now(), a, retry.NoConnection)
 	if d.Kind != retry.Retry {
--- a/internal/request/limit/limiter.go
+++ b/internal/request/limit/limiter.go
@@ -16,9 +16,9 @@
 	// ProbeTime is how long one slot may be tried by a daemon that has none.
 	ProbeTime = clock.Second
 	// MinBackOff is the shortest pause between two tries.
-	MinBackOff clock.Millis = 200
+	MinBackOff clock.Millis = 20
 	// MaxBackOff is the longest pause between two tries.
-	MaxBackOff = 10 * clock.Second
+	MaxBackOff = clock.Second
 )
 
 // Limiter says how many slots of one target this daemon uses: its share, or less after the target refused; it is not safe for concurrent use.
@@ -57,11 +57,13 @@
 // Refused tells that the target refused a connection or a statement for want of room.
 func (l *Limiter) Refused(now clock.Millis) {
 	l.grow(now)
-	if now-l.shrunkAt < ShrinkPause {
-		return
-	}
 	if l.limit < 1 {
 		l.backOff = min(2*l.backOff, MaxBackOff)
+		l.probeAt = now + l.Jitter(l.backOff)
+		return
+	}
+	if now-l.shrunkAt < ShrinkPause {
+		return
 	}
 	l.limit *= ShrinkFactor
 	l.shrunkAt = now
