--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -97,6 +97,7 @@
 			newToken(stdout),
 			newStandIns(stdout),
 			newTry(stdout, stderr),
+			newCapacity(stdout),
 		},
 	}
 }
