group: give a recorded change the time to finish and bound contention

Change: a new term in the record draws the delay anew, and a recorded term counts as one's own only if the own change won its majority. Rows for a longer log of an older term, a fenced primary that still writes, lost fences and a stream that ends late. Test: TestContention, at most 18 changes begun and 2 primaries made per fault.

--- a/internal/version/group/fault_test.go
+++ b/internal/version/group/fault_test.go
@@ -111,6 +111,39 @@
 			s.resume(d)
 		}
 	}},
+	{name: "longer log of an older term", fault: func(s *sim) {
+		s.isolate("t0")
+		for range 100 {
+			s.writeTo(s.targets["t0"])
+		}
+		s.run(2000)
+		s.cut = map[[2]string]bool{}
+		s.sever("t0", "t1")
+		s.sever("t0", "t2")
+		s.run(1000)
+		s.crash(s.platform.rec.Primary)
+	}},
+	{name: "a fenced primary still writes", fault: func(s *sim) {
+		for _, d := range s.daemons {
+			s.sever(string(d.id), "t2")
+		}
+		s.targets["t1"].order(s, Order{Kind: Fence, Term: 2, Holder: "gone"})
+	}},
+	{name: "cut off and fences of one replica lost", want: "*", within: 2 * clock.Second, fault: func(s *sim) {
+		end := s.now + 1000
+		s.lose = func(_ int, a Action) (bool, bool) {
+			o, ok := a.(SendOrder)
+			return ok && o.Target == "t2" && s.now < end, false
+		}
+		s.sever("t0", "t1")
+		s.sever("t0", "t2")
+	}},
+	{name: "primary leaves, one stream ends late", want: "*", fault: func(s *sim) {
+		s.targets["t2"].linger = 200
+		for _, d := range s.daemons {
+			s.step(d, Left{Target: "t0", Leaving: true})
+		}
+	}},
 	{name: "primary leaves", want: "*", fault: func(s *sim) {
 		for _, d := range s.daemons {
 			s.step(d, Left{Target: "t0", Leaving: true})
@@ -174,6 +207,7 @@
 func TestFaults(t *testing.T) {
 	for _, row := range faultRows {
 		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(8) {
 				if got := row.play(newSim(seed, row.nTargets(), row.nDaemons())); got != "" {
 					t.Fatalf("seed %d: %s", seed, got)
@@ -199,6 +233,26 @@
 	}
 }
 
+// TestContention bounds the changes that nine daemons begin, and the primaries that they make, for one fault.
+func TestContention(t *testing.T) {
+	for _, row := range faultRows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(4) {
+				s := newSim(seed, 3, 9)
+				s.run(settle)
+				if row.fault != nil {
+					row.fault(s)
+				}
+				s.run(outage)
+				if made := len(s.primaries) - 1; s.changes > 18 || made > 2 {
+					t.Fatalf("seed %d: %d changes begun, %d primaries made, want at most 18 and 2", seed, s.changes, made)
+				}
+			}
+		})
+	}
+}
+
 // TestLostAtEachCall loses the request or the answer of the nth order or platform call, alone or with all that follow for a while.
 func TestLostAtEachCall(t *testing.T) {
 	row := faultRow{fault: func(s *sim) { s.crash("t0") }, want: "*"}
--- a/internal/version/group/machine.go
+++ b/internal/version/group/machine.go
@@ -23,8 +23,9 @@
 	change  *change
 	trigger trigger
 	repair  repair
-	// lastTerm is the term of the last change begun here, promotedTerm of the last completed.
+	// lastTerm is the term of the last change begun here, chosenTerm of the last to win a majority, promotedTerm of the last completed.
 	lastTerm     position.Term
+	chosenTerm   position.Term
 	promotedTerm position.Term
 	out          []Action
 }
--- a/internal/version/group/record.go
+++ b/internal/version/group/record.go
@@ -7,6 +7,7 @@
 
 // record writes the outcome of the change, conditional on the version that is known.
 func (m *Machine) record() {
+	m.chosenTerm = m.change.term
 	m.enter(recording)
 	m.putChosen()
 }
--- a/internal/version/group/target_test.go
+++ b/internal/version/group/target_test.go
@@ -26,6 +26,7 @@
 	lawless   bool
 	slow      clock.Millis // how long a promotion takes; its answer is lost
 	lockedTo  clock.Millis // when the promotion under way ends
+	linger    clock.Millis // how long the stream goes on after a fence
 	unlocked  bool         // takes orders during a promotion
 	stubborn  bool         // ignores a promotion while it is primary
 }
@@ -51,7 +52,11 @@
 	t.promise, t.holder = o.Term, o.Holder
 	switch o.Kind {
 	case Fence:
-		t.following = ""
+		if t.linger == 0 {
+			t.following = ""
+			break
+		}
+		s.after(t.linger, func() { t.following = "" })
 	case Promote:
 		t.lockedTo = s.now + t.slow
 		if t.slow == 0 {
--- a/internal/version/group/trigger.go
+++ b/internal/version/group/trigger.go
@@ -20,6 +20,7 @@
 type trigger struct {
 	cause    cause
 	promise  position.Term
+	recorded position.Term
 	due      clock.Millis
 	nextTry  clock.Millis
 	attempts int
@@ -32,10 +33,10 @@
 	}
 	c := m.findCause()
 	p := m.highestPromise()
-	if c != m.trigger.cause || p > m.trigger.promise {
+	if c != m.trigger.cause || p > m.trigger.promise || m.rec.Term > m.trigger.recorded {
 		m.trigger.due = m.now + m.patience(c)
 	}
-	m.trigger.cause, m.trigger.promise = c, p
+	m.trigger.cause, m.trigger.promise, m.trigger.recorded = c, p, m.rec.Term
 	if c == causeNone || m.now < m.trigger.due || m.now < m.trigger.nextTry {
 		return
 	}
@@ -92,9 +93,12 @@
 	return m.jitter(m.s.Stagger)
 }
 
-// mine reports whether the highest promise that is known was given to this daemon.
+// mine reports whether the highest term that is known was this daemon's to fill: recorded by its change, or promised to it where the record is older.
 func (m *Machine) mine() bool {
 	p := m.highestPromise()
+	if m.rec.Term >= p {
+		return m.chosenTerm == m.rec.Term
+	}
 	for _, t := range m.members {
 		if t.status.Promise == p && t.status.Holder == m.holder {
 			return true
