--- a/internal/capacity/groups.go
+++ b/internal/capacity/groups.go
@@ -60,11 +60,14 @@
 	}, nil
 }
 
-func newLoop() *control.Loop {
+// newLoop returns a loop that asks each target once in an interval.
+func newLoop(interval clock.Millis) *control.Loop {
+	machine := group.DefaultSettings()
+	machine.ProbeInterval = interval
 	return control.New(&control.Config{
 		Self:    "d0",
-		Machine: group.DefaultSettings(),
-		Probe:   probe.Settings{Interval: 100, Timeout: 250, Pause: 1},
+		Machine: machine,
+		Probe:   probe.Settings{Interval: interval, Timeout: 250, Pause: 1},
 	}, clock.System(), control.Seams{
 		Dial:   dialNothing,
 		Store:  &platform.Store{},
@@ -90,17 +93,34 @@
 			{ID: LoopBytes, What: "memory of a group: machine, view, samples of 2 s, 3 probers", Size: "group", Unit: "B"},
 		},
 		sizes: []int{1, 50, 300, 700},
-		run:   loopCost,
+		run: func(ctx context.Context, n int) ([]float64, error) {
+			return loopCost(ctx, n, 100)
+		},
+	}
+}
+
+func slowLoops() measure {
+	return measure{
+		slopes: []Slope{{ID: SlowLoopCPU, What: "the same, each target asked once a second", Size: "group", Unit: "µs/s"}},
+		sizes:  []int{1, 50, 700},
+		run: func(ctx context.Context, n int) ([]float64, error) {
+			cost, err := loopCost(ctx, n, clock.Second)
+			if err != nil {
+				return nil, err
+			}
+			return cost[:1], nil
+		},
 	}
 }
 
-func loopCost(ctx context.Context, n int) ([]float64, error) {
+// loopCost returns the processor time of a second and the memory of a loop that holds n groups.
+func loopCost(ctx context.Context, n int, interval clock.Millis) ([]float64, error) {
 	ctx, stop := context.WithCancel(ctx)
 	var work sync.WaitGroup
 	defer work.Wait()
 	defer stop()
 	before := held()
-	l := newLoop()
+	l := newLoop(interval)
 	work.Go(func() { l.Run(ctx) })
 	l.Publish(ctx, published(n))
 	time.Sleep(settleFor)
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -167,8 +167,25 @@
 func (e *estimate) home() {
 	const role = "home of a group"
 	e.watching(role, fmt.Sprintf("%.0f homes a group", e.n.Homes), e.homed())
+	e.slowHome(role)
 	e.add(role, "shortest interval of questions, two homes a group", e.interval(e.each(QuestionBytes)), Seconds, 0)
-	e.add(role, "the same, the text of the question left out", e.interval(e.each(QuestionBytes)-float64(len(target.StatusQuery))), Seconds, 0)
+	e.add(role, "the same, the text of the question left out", e.interval(e.bare()), Seconds, 0)
+}
+
+// slowHome adds what a daemon pays when two homes ask each target once a second.
+func (e *estimate) slowHome(role string) {
+	const how = "2 homes a group that ask once a second"
+	groups := 2 * e.n.Groups / e.n.Daemons
+	asked := e.targets(groups)
+	e.add(role, how+", loop and machines", core(e.each(SlowLoopCPU)*groups), Core, coreLimit)
+	e.add(role, how+", questions, target's end included", core(e.each(QuestionCPU)*asked), Core, coreLimit)
+	e.add(role, how+", questions", kilobytes(e.each(QuestionBytes)*asked), KBs, networkLimit)
+	e.add(role, how+", questions without their text", kilobytes(e.bare()*asked), KBs, networkLimit)
+}
+
+// bare is the bytes of a question and its answer without the question's text.
+func (e *estimate) bare() float64 {
+	return e.each(QuestionBytes) - float64(len(target.StatusQuery))
 }
 
 // interval is how far apart the questions to a target must be for the network limit when two homes ask.
--- a/internal/capacity/roles_test.go
+++ b/internal/capacity/roles_test.go
@@ -27,6 +27,7 @@
 	set(HeartbeatCPU, Line{}, 250)
 	set(TickCPU, Line{Intercept: 10, Slope: 2}, 0)
 	set(LoopCPU, Line{Intercept: 5, Slope: 2000}, 0)
+	set(SlowLoopCPU, Line{Slope: 500}, 0)
 	set(QuestionCPU, Line{Slope: 100}, 0)
 	set(QuestionBytes, Line{Intercept: 280, Slope: 1000}, 0)
 	set(LoopBytes, Line{Slope: 30_000}, 0)
@@ -84,19 +85,22 @@
 		"home of a group/2 homes a group, loop and machines/% of a core":                          3.6,
 		"home of a group/2 homes a group, questions/KB/s":                                         540,
 		"home of a group/shortest interval of questions, two homes a group/s":                     2.7,
-		"coordinator/today: one target asked by all, both ends/% of a core":                       10,
-		"coordinator/homes: one target asked by its homes, both ends/% of a core":                 0.2,
-		"coordinator/today: records repaired after an hour without platform/calls/s":              2 * 100 / 1.5,
-		"coordinator/homes: records repaired after an hour without platform/calls/s":              2 * 2 / 1.5,
-		"caller connection/connections of a daemon/":                                              50,
-		"caller connection/their memory, idle/MB":                                                 0.5,
-		"caller connection/statements of a daemon a second/":                                      10,
-		"caller connection/all reads, less the straight path/% of a core":                         0.04,
-		"platform/today: VM list read by every daemon/calls/s":                                    50,
-		"platform/watchers only: VM list/calls/s":                                                 5,
-		"platform/watches that wait/":                                                             10,
-		"platform/watches answered, one a change/calls/s":                                         15,
-		"platform/return after an outage: lists of all watchers/MB":                               5,
+		// 18 groups of 0.5 ms and 54 questions a second of 1,000 B.
+		"home of a group/2 homes a group that ask once a second, loop and machines/% of a core": 0.9,
+		"home of a group/2 homes a group that ask once a second, questions/KB/s":                54,
+		"coordinator/today: one target asked by all, both ends/% of a core":                     10,
+		"coordinator/homes: one target asked by its homes, both ends/% of a core":               0.2,
+		"coordinator/today: records repaired after an hour without platform/calls/s":            2 * 100 / 1.5,
+		"coordinator/homes: records repaired after an hour without platform/calls/s":            2 * 2 / 1.5,
+		"caller connection/connections of a daemon/":                                            50,
+		"caller connection/their memory, idle/MB":                                               0.5,
+		"caller connection/statements of a daemon a second/":                                    10,
+		"caller connection/all reads, less the straight path/% of a core":                       0.04,
+		"platform/today: VM list read by every daemon/calls/s":                                  50,
+		"platform/watchers only: VM list/calls/s":                                               5,
+		"platform/watches that wait/":                                                           10,
+		"platform/watches answered, one a change/calls/s":                                       15,
+		"platform/return after an outage: lists of all watchers/MB":                             5,
 		// 7 bits of 100 members: each change is told 21 times, at 50 B; 0.4 ends, starts, sent and heard a second.
 		"faults/2,300 replacements a day: ends and starts told/KB/s": 0.42,
 		// 12 changes 21 times, 12 in each of 8 heartbeats a second.
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -22,6 +22,7 @@
 	ShareCPU        SlopeID = "share-cpu"
 	LoopCPU         SlopeID = "group-loop-cpu"
 	LoopBytes       SlopeID = "group-memory"
+	SlowLoopCPU     SlopeID = "group-slow-loop-cpu"
 	StepCPU         SlopeID = "group-step-cpu"
 	ChooseCPU       SlopeID = "choose-cpu"
 	QuestionCPU     SlopeID = "question-cpu"
@@ -110,7 +111,7 @@
 func measures() []measure {
 	return []measure{
 		heartbeats(), fullHeartbeats(), pulses(), demands(), tables(), shares(),
-		loops(), machines(), questions(), questionBytes(),
+		loops(), slowLoops(), machines(), questions(), questionBytes(),
 		callers(), statements(straight), statements(reads), statements(writes),
 		versions(), events(), daemons(),
 	}
