--- a/internal/connection/session/settings.go
+++ b/internal/connection/session/settings.go
@@ -29,11 +29,6 @@
 	s.apply([]change{{strings.ToLower(name), sql}})
 }
 
-// Reset notes that name, or all when it is "all", was put back.
-func (s *Settings) Reset(name string) {
-	s.apply([]change{{name: strings.ToLower(name)}})
-}
-
 // Pend notes a SET or (with an empty sql) a RESET inside an open transaction.
 func (s *Settings) Pend(name, sql string) {
 	s.pending = append(s.pending, change{strings.ToLower(name), sql})
--- a/internal/connection/target/conn.go
+++ b/internal/connection/target/conn.go
@@ -240,9 +240,3 @@
 	c.raw.b = b
 	c.front.Send(&c.raw)
 }
-
-// Skip reads one answer up to ReadyForQuery and returns the target's error, if it gave one.
-func (c *Conn) Skip() error {
-	_, err := c.answer()
-	return err
-}
