trial: bring faults about together and show drain and leaving targets

Cause: faults come together, and nothing ran the drain of a daemon, a leaving target or a plain caller's read through every daemon on the whole path. Change: a trial takes further faults; rows for a crash and a cut while the platform is down, with far replicas, with a dead daemon; tests that a leaving target gets no read, that a graceful stop answers the write in flight, fails its health check and is left by its peers, and that a plain caller reads its writes through any daemon.

--- a/internal/trial/config.go
+++ b/internal/trial/config.go
@@ -45,6 +45,8 @@
 	Length clock.Millis
 	Seed   uint64
 	Fault  Fault
+	// Also are faults that come together with Fault.
+	Also   []Fault
 	Policy entry.Policy
 	// Sessions is the number of sessions at work at a time.
 	Sessions int
--- a/internal/trial/fault.go
+++ b/internal/trial/fault.go
@@ -41,10 +41,30 @@
 	return o, err
 }
 
-// begin brings the fault about and returns what heals it.
+// begin brings the faults about and returns what heals them.
 func (s *Stage) begin() (func(context.Context) error, error) {
+	var heals []func(context.Context) error
+	for _, f := range append([]Fault{s.cfg.Fault}, s.cfg.Also...) {
+		h, err := s.bring(f)
+		if err != nil {
+			return nil, err
+		}
+		heals = append(heals, h)
+	}
+	return func(ctx context.Context) error {
+		for _, h := range heals {
+			if err := h(ctx); err != nil {
+				return err
+			}
+		}
+		return nil
+	}, nil
+}
+
+// bring brings one fault about and returns what heals it.
+func (s *Stage) bring(f Fault) (func(context.Context) error, error) {
 	primary := s.primary()
-	switch s.cfg.Fault {
+	switch f {
 	case PrimaryCrash:
 		primary.Crash()
 		return func(ctx context.Context) error { return primary.Restart(ctx) }, nil
@@ -64,7 +84,7 @@
 		s.actors[0].kill()
 		return healed(func() {}), nil
 	}
-	return nil, fmt.Errorf("unknown fault %q", s.cfg.Fault)
+	return nil, fmt.Errorf("unknown fault %q", f)
 }
 
 func healed(f func()) func(context.Context) error {
--- /dev/null
+++ b/internal/trial/operation_test.go
@@ -0,0 +1,127 @@
+package trial
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"go.uber.org/zap"
+
+	"github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// patience bounds waits of tests that fail.
+const patience = 20 * time.Second
+
+func newTestStage(t *testing.T, cfg *Config) (*Stage, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*patience)
+	t.Cleanup(cancel)
+	s, err := NewStage(ctx, cfg, clock.System(), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	if err := s.awaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return s, ctx
+}
+
+func newTestCaller(ctx context.Context, t *testing.T, address string) *pgconn.PgConn {
+	t.Helper()
+	c, err := connect(ctx, address, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+func mustRun(ctx context.Context, t *testing.T, c *pgconn.PgConn, sql string) Answer {
+	t.Helper()
+	a := run(ctx, c, Statement{SQL: sql, Simple: true})
+	if a.Fate != Acknowledged {
+		t.Fatalf("%s: got fate %d, code %s, want acknowledged", sql, a.Fate, a.Code)
+	}
+	return a
+}
+
+const lookup = `SELECT id, lot, price, 'n' FROM quotes /*request='bulletin.lookup'*/`
+
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	s, ctx := newTestStage(t, &Config{})
+	var vms []platform.VM
+	leaving := s.Targets[1]
+	for _, target := range s.Targets {
+		vms = append(vms, platform.VM{Address: target.Address(), Leaving: target == leaving})
+	}
+	s.Platform.SetVMs(vms)
+	marked := func() bool {
+		for _, a := range s.actors {
+			for _, g := range a.daemon.Status().Groups {
+				if !g.Targets[1].Leaving {
+					return false
+				}
+			}
+		}
+		return true
+	}
+	if err := s.await(ctx, "the mark to be known", marked); err != nil {
+		t.Fatal(err)
+	}
+	before := leaving.Statements().Reads
+	for _, address := range s.Addresses() {
+		c := newTestCaller(ctx, t, address)
+		for range 50 {
+			mustRun(ctx, t, c, lookup)
+		}
+	}
+	if got, want := leaving.Statements().Reads, before; got != want {
+		t.Errorf("got %d reads at the leaving target, want %d", got, want)
+	}
+}
+
+func TestGracefulStopCutsNothing(t *testing.T) {
+	s, ctx := newTestStage(t, &Config{StatementTime: 100})
+	stopping := s.actors[0]
+	c := newTestCaller(ctx, t, stopping.address)
+	answered := make(chan Answer, 1)
+	go func() {
+		answered <- run(ctx, c, Statement{SQL: `INSERT INTO quotes VALUES('drain', 'a', 1) /*request='quote.create'*/`, Simple: true})
+	}()
+	atWork := func() bool { return stopping.daemon.Status().Groups[0].Targets[0].Busy > 0 }
+	if err := s.await(ctx, "the write to be at work", atWork); err != nil {
+		t.Fatal(err)
+	}
+	stopping.drain()
+	if a := <-answered; a.Fate != Acknowledged {
+		t.Errorf("got fate %d, code %s for the write in flight, want acknowledged", a.Fate, a.Code)
+	}
+	if stopping.daemon.Ready() {
+		t.Error("got a health check that passes, want it to fail while draining")
+	}
+	gone := func() bool { return len(s.actors[1].daemon.Status().Peers) == s.cfg.Daemons-2 }
+	if err := s.await(ctx, "the peers to know", gone); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := connect(ctx, stopping.address, ""); err == nil {
+		t.Error("got a new caller taken, want refused")
+	}
+}
+
+func TestWriteIsReadThroughAnyDaemonByAPlainCaller(t *testing.T) {
+	s, ctx := newTestStage(t, &Config{Lag: 150})
+	for i, address := range s.Addresses() {
+		c := newTestCaller(ctx, t, address)
+		mustRun(ctx, t, c, `INSERT INTO quotes VALUES('q`+string(rune('0'+i))+`', 'a', 1) /*request='quote.create'*/`)
+		for _, other := range s.Addresses() {
+			a := mustRun(ctx, t, newTestCaller(ctx, t, other), lookup)
+			if got, want := len(a.Rows), i+1; got != want {
+				t.Errorf("got %d rows through %s, want %d", got, other, want)
+			}
+		}
+	}
+}
--- a/internal/trial/run_test.go
+++ b/internal/trial/run_test.go
@@ -31,6 +31,32 @@
 	}
 }
 
+func TestNoLossUnderFaultsTogether(t *testing.T) {
+	tests := []struct {
+		name  string
+		first Fault
+		also  []Fault
+	}{
+		{"crash while the platform is down", PrimaryCrash, []Fault{PlatformDown}},
+		{"cut while the platform is down", PrimaryCut, []Fault{PlatformDown}},
+		{"crash with far replicas", PrimaryCrash, []Fault{ReplicasLag}},
+		{"crash of primary and daemon", PrimaryCrash, []Fault{DaemonCrash}},
+		{"pause, platform and daemon", PrimaryPause, []Fault{PlatformDown, DaemonCrash}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			r := runTrial(t, &Config{Length: trialLength, Seed: 11, Fault: tt.first, Also: tt.also})
+			if got, want := r.Losses, (Losses{}); got != want {
+				t.Errorf("got %+v, want %+v", got, want)
+			}
+			if r.FailoverGap == nil {
+				t.Error("got no write after the fault, want one")
+			}
+		})
+	}
+}
+
 func TestPrimaryOnlyReadsNoReplica(t *testing.T) {
 	r := runTrial(t, &Config{Length: trialLength, Policy: entry.PrimaryOnly})
 	if got, want := r.ReplicaReads, 0; got != want {
--- a/internal/trial/stage.go
+++ b/internal/trial/stage.go
@@ -76,6 +76,7 @@
 	address string
 	admin   string
 	crash   context.CancelFunc
+	drain   context.CancelFunc
 	callers *cuttable
 }
 
@@ -235,12 +236,14 @@
 	p.Callers = callers
 	d := entry.New(&cfg, p)
 	abort, crash := context.WithCancel(context.WithoutCancel(ctx))
+	within, drain := context.WithCancel(ctx)
 	s.actors = append(s.actors, &actor{
-		daemon: d, address: p.Callers.Addr().String(), admin: p.Admin.Addr().String(), crash: crash, callers: callers,
+		daemon: d, address: p.Callers.Addr().String(), admin: p.Admin.Addr().String(), crash: crash, drain: drain, callers: callers,
 	})
 	s.work.Go(func() {
 		defer crash()
-		if err := d.Run(ctx, abort); err != nil && !errors.Is(err, context.Canceled) {
+		defer drain()
+		if err := d.Run(within, abort); err != nil && !errors.Is(err, context.Canceled) {
 			p.Log.Error("daemon ended", zap.Error(err))
 		}
 	})
