--- a/internal/version/group/fault_test.go
+++ b/internal/version/group/fault_test.go
@@ -52,7 +52,7 @@
 		s.cut[[2]string{"d0", "t0"}] = true
 		s.cut[[2]string{"d1", "t0"}] = true
 	}},
-	{name: "cut off from replicas", want: "*", within: 2 * clock.Second, fault: func(s *sim) {
+	{name: "cut off from replicas", want: "*", within: 1 * clock.Second, fault: func(s *sim) {
 		s.sever("t0", "t1")
 		s.sever("t0", "t2")
 	}},
@@ -113,7 +113,7 @@
 	}},
 	{name: "longer log of an older term", fault: func(s *sim) {
 		s.isolate("t0")
-		for range 100 {
+		for range 500 {
 			s.writeTo(s.targets["t0"])
 		}
 		s.run(2000)
