caller: hand out the token of a session's first sample

Cause: a session that only reads had no token to carry, so each of its connections took a new sample, which replicas reach only one lag later. Change: whenever a session's floor has risen, by a write or by a sample, the answer brings its token.

--- a/internal/connection/caller/attempt.go
+++ b/internal/connection/caller/attempt.go
@@ -31,8 +31,6 @@
 	kind  verdictKind
 	err   *refusal.Error
 	reuse bool
-	// wrote is true when a write was acknowledged.
-	wrote bool
 }
 
 // attempt is one exchange on one lease.
--- a/internal/connection/caller/conclude.go
+++ b/internal/connection/caller/conclude.go
@@ -47,12 +47,10 @@
 // errGone means that the caller cannot be written to.
 var errGone = errors.New("caller is gone")
 
-// giveAnswer sends the target's answer, with the new token if a write was acknowledged.
+// giveAnswer sends the target's answer, with a token if the session's floor has risen.
 func (c *conn) giveAnswer(v verdict) error {
 	ans := &c.answer
-	if v.wrote {
-		ans.add(&pgproto3.ParameterStatus{Name: session.TokenParameter, Value: c.session.Token()})
-	}
+	c.tellToken()
 	if c.failedAtBegin() {
 		c.giveBack(v.reuse, Acknowledged, ans.code)
 		c.tx = transaction{open: true, failed: true}
@@ -67,6 +65,16 @@
 	return c.finish(ans.status, ans.errored)
 }
 
+// tellToken hands the caller the token of a floor that it was not told yet: of its own write, or of the sample that its first read took.
+func (c *conn) tellToken() {
+	floor := c.session.Floor()
+	if !c.session.Floored() || floor == c.told {
+		return
+	}
+	c.told = floor
+	c.answer.add(&pgproto3.ParameterStatus{Name: session.TokenParameter, Value: c.session.Token()})
+}
+
 // failedAtBegin reports whether the BEGIN that was sent along with the exchange failed, so that the caller has to be told that its transaction is over.
 func (c *conn) failedAtBegin() bool {
 	return c.tx.begin != "" && c.answer.errored && c.answer.status == 'I' && !c.exchange.has(session.Commit)
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -13,6 +13,7 @@
 	"github.com/cactusfork/cactusfork/internal/request/refusal"
 	"github.com/cactusfork/cactusfork/internal/version/service"
 	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/position"
 )
 
 // phase is what a connection is doing, for the limits that the server keeps.
@@ -42,6 +43,8 @@
 	answer     answer
 	plan       plan
 	tx         transaction
+	// told is the floor whose token the caller has.
+	told position.Point
 	// skipping is true from an error behind a Flush up to the next Sync.
 	skipping bool
 	key      cancelKey
--- a/internal/connection/caller/settle.go
+++ b/internal/connection/caller/settle.go
@@ -32,11 +32,10 @@
 	if err := a.c.server.seams.Confirm(a.c.ctx, a.c.session.Group(), place.Applied); err != nil {
 		return a.unconfirmed(reuse)
 	}
-	wrote := a.request.Kind == service.Write
-	if wrote {
+	if a.request.Kind == service.Write {
 		a.c.session.Raise(place.Applied)
 	}
-	return verdict{kind: answered, reuse: reuse, wrote: wrote}
+	return verdict{kind: answered, reuse: reuse}
 }
 
 // ended reports whether the exchange ended something that a majority must hold before the caller hears of it.
--- a/internal/trial/operation_test.go
+++ b/internal/trial/operation_test.go
@@ -125,3 +125,22 @@
 		}
 	}
 }
+
+func TestFirstReadBringsATokenThatWorksElsewhere(t *testing.T) {
+	s, ctx := newTestStage(t, &Config{Lag: 50})
+	c := newTestCaller(ctx, t, s.Addresses()[0])
+	mustRun(ctx, t, c, lookup)
+	token := c.ParameterStatus(tokenParameter)
+	if token == "" {
+		t.Fatal("got no token with the first read, want one")
+	}
+	other, err := connect(ctx, s.Addresses()[1], token)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = other.Close(context.Background()) })
+	mustRun(ctx, t, other, lookup)
+	if _, err := connect(ctx, s.Addresses()[1], token[:len(token)-2]+"xx"); err == nil {
+		t.Error("got a forged token accepted, want refused")
+	}
+}
