entry: let stamps travel with the messages between daemons

Cause: events of daemons with unlike clocks were ordered by those clocks alone. Test: a stamp 30 s ahead reaches both other daemons of a trial.

--- a/internal/process/entry/admin.go
+++ b/internal/process/entry/admin.go
@@ -17,7 +17,7 @@
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(d.mesh.Handler())
-	return mux
+	return d.stamped(mux)
 }
 
 func (d *Daemon) adminHandler() http.Handler {
--- a/internal/process/entry/daemon.go
+++ b/internal/process/entry/daemon.go
@@ -93,6 +93,7 @@
 		DataCentre: cfg.DataCentre,
 		Period:     cfg.Period,
 		TLS:        p.Access.PeerTLS,
+		Wrap:       func(next http.RoundTripper) http.RoundTripper { return &stampTransport{d: d, next: next} },
 	}, p.Clock, d.peerSeams())
 	d.router = &router{clk: p.Clock, loop: d.loop, targets: d.targets, policy: cfg.Policy, place: cfg.DataCentre, meter: d.meter, replicaWait: cfg.ReplicaWait, retries: newRetries(p.Clock)}
 	d.server = caller.New(cfg.Callers, d.callerSeams())
--- a/internal/process/peer/caller.go
+++ b/internal/process/peer/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -42,17 +41,22 @@
 	timeout clock.Millis
 }
 
-func newCaller(conf *tls.Config, clk *clock.Clock, period clock.Millis) *caller {
-	c := &caller{clk: clk, timeout: period, scheme: "http://"}
+func newCaller(cfg *Config, clk *clock.Clock) *caller {
+	conf := cfg.TLS
+	c := &caller{clk: clk, timeout: cfg.Period, scheme: "http://"}
 	if conf != nil {
 		c.scheme = "https://"
 	}
-	c.http = &http.Client{Transport: &http.Transport{
+	var transport http.RoundTripper = &http.Transport{
 		TLSClientConfig:     conf.Clone(),
 		MaxIdleConns:        maxIdle,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     idleTimeout.Duration(),
-	}}
+	}
+	if cfg.Wrap != nil {
+		transport = cfg.Wrap(transport)
+	}
+	c.http = &http.Client{Transport: transport}
 	return c
 }
 
--- a/internal/process/peer/contract_test.go
+++ b/internal/process/peer/contract_test.go
@@ -40,7 +40,7 @@
 		{"endless incarnation", wireMember("x", 1<<63, alive), connect.CodeInvalidArgument},
 		{"oversized", &peerv1.Member{Id: strings.Repeat("x", maxMessage)}, connect.CodeResourceExhausted},
 	}
-	peer := newCaller(nil, clock.System(), 10*clock.Second).peer(m.cfg.Address)
+	peer := newCaller(&Config{Period: 10 * clock.Second}, clock.System()).peer(m.cfg.Address)
 	for _, tt := range tests {
 		req := &peerv1.ExchangeRequest{Heartbeat: &peerv1.Heartbeat{Self: tt.self}}
 		_, err := peer.Exchange(t.Context(), connect.NewRequest(req))
@@ -85,7 +85,7 @@
 	}
 	for i, b := range beats {
 		beat := &peerv1.Heartbeat{Self: wireMember("d9", b.in, b.state)}
-		if _, err := newCaller(nil, clock.System(), 10*clock.Second).exchange(t.Context(), m.cfg.Address, beat, false); err != nil {
+		if _, err := newCaller(&Config{Period: 10 * clock.Second}, clock.System()).exchange(t.Context(), m.cfg.Address, beat, false); err != nil {
 			t.Fatal(err)
 		}
 		if got := len(m.Live()); got != b.live {
@@ -108,7 +108,7 @@
 		<-asked
 		clk.Advance(50)
 	}()
-	c := newCaller(nil, &clk.Clock, 50)
+	c := newCaller(&Config{Period: 50}, &clk.Clock)
 	_, err := c.view(t.Context(), strings.TrimPrefix(late.URL, "http://"), "g", "t")
 	if got := connect.CodeOf(err); got != connect.CodeCanceled {
 		t.Errorf("got %v, want %v", err, connect.CodeCanceled)
@@ -162,7 +162,7 @@
 		return out
 	}
 	m := startMesh(t, "d1", clock.System(), Seams{Objects: newer})
-	c := newCaller(nil, clock.System(), 10*clock.Second)
+	c := newCaller(&Config{Period: 10 * clock.Second}, clock.System())
 	got, err := c.objects(t.Context(), m.cfg.Address, []KeyVersion{{Key: "groups/b", Version: 2}})
 	if err != nil || len(got) != 3 {
 		t.Errorf("got %d objects, %v, want 3", len(got), err)
@@ -185,7 +185,7 @@
 		conf *tls.Config
 		ok   bool
 	}{{"certificate", with, true}, {"no certificate", trust, false}, {"cleartext", nil, false}} {
-		c := newCaller(tt.conf, clock.System(), 10*clock.Second)
+		c := newCaller(&Config{Period: 10 * clock.Second, TLS: tt.conf}, clock.System())
 		_, err := c.view(t.Context(), server.Listener.Addr().String(), "g", "t")
 		c.http.CloseIdleConnections()
 		if (err == nil) != tt.ok {
--- a/internal/process/peer/mesh.go
+++ b/internal/process/peer/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,8 @@
 	Period clock.Millis
 	// TLS is used for calls to peers, with this daemon's certificate for mutual TLS; nil means cleartext.
 	TLS *tls.Config
+	// Wrap sees every call to a peer, to add what travels with all of them; nil adds nothing.
+	Wrap func(http.RoundTripper) http.RoundTripper
 }
 
 // Seams are what the mesh needs from the rest of the daemon; a nil field is never called.
@@ -85,7 +88,7 @@
 		clk:       clk,
 		seams:     s.filled(),
 		table:     NewTable(self, Defaults(cfg.Period)),
-		call:      newCaller(cfg.TLS, clk, cfg.Period),
+		call:      newCaller(&cfg, clk),
 		inbox:     make(chan message),
 		done:      make(chan struct{}),
 		fruitless: map[group.DaemonID][2]uint64{},
--- a/internal/trial/operation_test.go
+++ b/internal/trial/operation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/event"
 )
 
 // patience bounds waits of tests that fail.
@@ -144,3 +145,13 @@
 		t.Error("got a forged token accepted, want refused")
 	}
 }
+
+func TestStampsOfDaemonsFollowEachOther(t *testing.T) {
+	s, ctx := newTestStage(t, &Config{})
+	ahead := event.Stamp{Millis: s.clk.Wall() + 30*clock.Second, Daemon: "entry-9"}
+	s.Events[0].Observe(ahead)
+	pulled := func() bool { return ahead.Before(s.Events[1].Now()) && ahead.Before(s.Events[2].Now()) }
+	if err := s.await(ctx, "the stamp to travel with heartbeats", pulled); err != nil {
+		t.Error(err)
+	}
+}
