capacity: let the scripted primary's position rise and settle between runs

Change: each statement moves the primary on; each run begins after a pause and a collection; watches wait 1 s, which halves the error at the window's edge. Messages a second of each role are rows now.

--- a/internal/capacity/daemons.go
+++ b/internal/capacity/daemons.go
@@ -26,7 +26,7 @@
 	publishings = 5
 	changeEvery = 1200 * time.Millisecond
 	// watchFor is how long a watch waits at the stand-in platform.
-	watchFor = 2 * clock.Second
+	watchFor = clock.Second
 	// readyLimit bounds the wait for daemons to be ready.
 	readyLimit = 20 * time.Second
 )
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -21,6 +21,7 @@
 	KBs       Unit = "KB/s"
 	Calls     Unit = "calls/s"
 	Seconds   Unit = "s"
+	PerSecond Unit = "messages/s"
 	Number    Unit = ""
 )
 
@@ -104,6 +105,7 @@
 func (e *estimate) entryDaemon() {
 	const role = "entry daemon"
 	n := e.n.Daemons
+	e.add(role, "heartbeats begun and answered", 2*e.p.heartbeats, PerSecond, 0)
 	e.add(role, "heartbeats of its data centre", 2*e.p.heartbeats*kilobytes(e.heartbeat()), KBs, networkLimit)
 	e.add(role, "the same, 2,048 demands said", 2*e.p.heartbeats*kilobytes(e.heartbeat()+e.each(DemandBytes)*maxDemand), KBs, networkLimit)
 	e.add(role, "heartbeats of its data centre", e.p.heartbeats*core(e.flat(HeartbeatCPU)), Core, coreLimit)
@@ -117,6 +119,7 @@
 // watching adds what a daemon pays that holds so many groups.
 func (e *estimate) watching(role, how string, groups float64) {
 	asked := e.targets(groups) * e.p.questions
+	e.add(role, how+", questions asked", asked, PerSecond, 0)
 	e.add(role, how+", loop and machines", core(e.each(LoopCPU)*groups), Core, coreLimit)
 	e.add(role, how+", questions, target's end included", core(e.each(QuestionCPU)*asked), Core, coreLimit)
 	e.add(role, how+", questions", kilobytes(e.each(QuestionBytes)*asked), KBs, networkLimit)
@@ -149,7 +152,7 @@
 	e.add(role, "change of configuration: all keys listed, once a change", kilobytes(digest*e.published()), KBs, networkLimit)
 	e.add(role, "list of all keys in one message", megabytes(digest), Megabytes, megabytes(largestMessage))
 	e.add(role, "objects in force", megabytes(e.at(ObjectBytes, all)), Megabytes, memoryLimit)
-	e.add(role, "change of configuration: event that names all keys, in a ring of 20,000", megabytes(e.keptNames()), Megabytes, memoryLimit)
+	e.add(role, "change of configuration: event that names all keys, a ring of 20,000 full of it", megabytes(e.keptNames()), Megabytes, memoryLimit)
 	e.add(role, "start: all objects from peers", megabytes(e.at(ObjectsBytes, all)), Megabytes, 0)
 }
 
@@ -157,6 +160,7 @@
 func (e *estimate) bridge() {
 	const role = "bridge of a data centre"
 	asks := e.p.heartbeats * (e.n.DataCentres - 1)
+	e.add(role, "heartbeats to other data centres, begun and answered", 2*asks, PerSecond, 0)
 	e.add(role, "heartbeats to other data centres", 2*asks*kilobytes(e.heartbeat()), KBs, networkLimit)
 	e.add(role, "heartbeats to other data centres", asks*core(e.flat(HeartbeatCPU)), Core, coreLimit)
 }
@@ -177,6 +181,7 @@
 	const how = "2 homes a group that ask once a second"
 	groups := 2 * e.n.Groups / e.n.Daemons
 	asked := e.targets(groups)
+	e.add(role, how+", questions asked", asked, PerSecond, 0)
 	e.add(role, how+", loop and machines", core(e.each(SlowLoopCPU)*groups), Core, coreLimit)
 	e.add(role, how+", questions, target's end included", core(e.each(QuestionCPU)*asked), Core, coreLimit)
 	e.add(role, how+", questions", kilobytes(e.each(QuestionBytes)*asked), KBs, networkLimit)
--- a/internal/capacity/roles_test.go
+++ b/internal/capacity/roles_test.go
@@ -63,7 +63,11 @@
 	}
 	for what, want := range map[string]float64{
 		// 4 heartbeats a second, begun and answered, of 500 B and 4 further pulses of 10 B.
-		"entry daemon/heartbeats of its data centre/KB/s": 8 * 0.540,
+		"entry daemon/heartbeats of its data centre/KB/s":                                         8 * 0.540,
+		"entry daemon/heartbeats begun and answered/messages/s":                                   8,
+		"entry daemon/today: all groups, questions asked/messages/s":                              27_000,
+		"home of a group/2 homes a group that ask once a second, questions asked/messages/s":      54,
+		"bridge of a data centre/heartbeats to other data centres, begun and answered/messages/s": 32,
 		// 2,048 demands of 40 B are 81,920 B.
 		"entry daemon/the same, 2,048 demands said/KB/s":         8 * 82.460,
 		"entry daemon/heartbeats of its data centre/% of a core": 0.1,
@@ -76,15 +80,15 @@
 		"entry daemon/today: all groups, machines and connections, target's end included/MB":        27 + 54,
 		"entry daemon/today: all groups, shares of slots, scan of demands not measured/% of a core": 270,
 		// One change a second of 20 ms; 30 kB of keys.
-		"entry daemon/change of configuration: applied, all decoded anew/% of a core":             2,
-		"entry daemon/one change of configuration: processor time until it is in force/s":         0.02,
-		"entry daemon/change of configuration: all keys listed, once a change/KB/s":               30,
-		"entry daemon/change of configuration: event that names all keys, in a ring of 20,000/MB": 600,
-		"bridge of a data centre/heartbeats to other data centres/KB/s":                           32 * 0.540,
-		"bridge of a data centre/heartbeats to other data centres/% of a core":                    0.4,
-		"home of a group/2 homes a group, loop and machines/% of a core":                          3.6,
-		"home of a group/2 homes a group, questions/KB/s":                                         540,
-		"home of a group/shortest interval of questions, two homes a group/s":                     2.7,
+		"entry daemon/change of configuration: applied, all decoded anew/% of a core":                     2,
+		"entry daemon/one change of configuration: processor time until it is in force/s":                 0.02,
+		"entry daemon/change of configuration: all keys listed, once a change/KB/s":                       30,
+		"entry daemon/change of configuration: event that names all keys, a ring of 20,000 full of it/MB": 600,
+		"bridge of a data centre/heartbeats to other data centres/KB/s":                                   32 * 0.540,
+		"bridge of a data centre/heartbeats to other data centres/% of a core":                            0.4,
+		"home of a group/2 homes a group, loop and machines/% of a core":                                  3.6,
+		"home of a group/2 homes a group, questions/KB/s":                                                 540,
+		"home of a group/shortest interval of questions, two homes a group/s":                             2.7,
 		// 18 groups of 0.5 ms and 54 questions a second of 1,000 B.
 		"home of a group/2 homes a group that ask once a second, loop and machines/% of a core": 0.9,
 		"home of a group/2 homes a group that ask once a second, questions/KB/s":                54,
--- a/internal/capacity/scripted.go
+++ b/internal/capacity/scripted.go
@@ -4,16 +4,20 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
+	"sync/atomic"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/cactusfork/cactusfork/internal/connection/target"
 )
 
-// scripted is a target that answers every statement with the same row; its own cost is small and the same on all paths.
+// scripted is a target that answers every statement with the same row and tells its position; its own cost is small and the same on all paths.
 type scripted struct {
 	address string
 	primary string
+	// position rises with each statement of a primary, so that each write hands out a new token.
+	position atomic.Uint64
 }
 
 // newScripted starts a scripted target that ends with ctx.
@@ -67,11 +71,20 @@
 	placed = &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("p")}, {Name: []byte("t")}, {Name: []byte("l")}}}
 )
 
+// at is the position as text: that of a primary past all statements, that of a replica fixed.
+func (s *scripted) at() []byte {
+	if s.primary == "f" {
+		return []byte("900")
+	}
+	return strconv.AppendUint(nil, 1000+s.position.Load(), 10)
+}
+
 func (s *scripted) answer(back *pgproto3.Backend, sql string) {
 	if sql == target.PositionQuery {
 		back.Send(placed)
-		back.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(s.primary), []byte("1"), []byte("900")}})
+		back.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(s.primary), []byte("1"), s.at()}})
 	} else {
+		s.position.Add(1)
 		back.Send(itemOf)
 		back.Send(&pgproto3.DataRow{Values: item})
 	}
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -76,6 +76,7 @@
 
 func (m measure) measured(ctx context.Context) ([]Slope, error) {
 	for _, size := range m.sizes {
+		calm()
 		values, err := m.run(ctx, size)
 		if err != nil {
 			return nil, fmt.Errorf("measure %s at %d: %w", m.slopes[0].ID, size, err)
--- a/internal/capacity/usage.go
+++ b/internal/capacity/usage.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // usage is what this process has used since it started.
@@ -61,6 +62,14 @@
 	return float64(m.HeapAlloc + m.StackInuse)
 }
 
+// calm lets what the last measurement left behind end and be freed.
+func calm() {
+	for range 2 {
+		time.Sleep(100 * time.Millisecond)
+		runtime.GC()
+	}
+}
+
 // counted is a listener that counts the bytes of its connections in both directions.
 type counted struct {
 	net.Listener
