command, standins: take free ports where nobody is given them by chance

A test of serve once hung for ten minutes on a busy machine: its daemon's port had been given to someone else between finding and using it, and the test never looked whether the daemon had ended. Free ports now come from below the range that systems give out, all of them are tried, and a command that ends early fails its test at once.

--- a/internal/command/daemons_test.go
+++ b/internal/command/daemons_test.go
@@ -21,17 +21,20 @@
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
-// background runs a command line until the test ends and returns the lines it prints.
+// background runs a command line until the test ends and returns the lines it prints; one that ends before fails the test.
 func background(t *testing.T, args ...string) <-chan string {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	r, w := io.Pipe()
-	done := make(chan int, 1)
-	var stderr bytes.Buffer
+	done := make(chan struct{})
 	go func() {
+		defer close(done)
+		var stderr bytes.Buffer
 		status := Run(ctx, append([]string{"cactusfork"}, args...), w, &stderr)
 		_ = w.Close()
-		done <- status
+		if ctx.Err() == nil || status != 0 {
+			t.Errorf("%s: got status %d before it was stopped, or other than 0: %s", args[0], status, stderr.String())
+		}
 	}()
 	lines := make(chan string, 100)
 	go func() {
@@ -42,17 +45,18 @@
 	}()
 	t.Cleanup(func() {
 		stop()
-		if status := <-done; status != 0 {
-			t.Errorf("%s: got status %d, want 0: %s", args[0], status, stderr.String())
-		}
+		<-done
 	})
 	return lines
 }
 
-// await tries until ok holds; the deadline of the whole test run ends it otherwise.
+// await tries until ok holds or something failed.
 func await(t *testing.T, ok func() bool) {
 	t.Helper()
 	for clk := clock.System(); !ok(); {
+		if t.Failed() {
+			t.FailNow()
+		}
 		if err := clk.Sleep(t.Context(), 5); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/command/publish.go
+++ b/internal/command/publish.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/url"
 	"strings"
 	"time"
 
@@ -35,7 +36,7 @@
 			&cli.StringFlag{Name: "platform", Required: true, Usage: "`URL` of the platform's object API"},
 			&cli.StringSliceFlag{Name: "admin", Usage: "admin `ADDRESS` of each daemon to wait for, separated by commas"},
 			&cli.DurationFlag{Name: "wait", Value: defaultWait, Usage: "longest wait for the daemons; 0s asks them once"},
-			&cli.Int64Flag{Name: "if-version", Value: noVersion, Usage: "version `N` that the file was edited from, 0 for a new service; for one file only"},
+			&cli.Int64Flag{Name: "if-version", Value: noVersion, HideDefault: true, Usage: "version `N` that the file was edited from, 0 for a new service; for one file only"},
 		}, operatorFlags()...),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return publishFiles(ctx, c, stdout, stderr)
@@ -74,6 +75,10 @@
 	if n != noVersion && files > 1 {
 		return errors.New("--if-version goes with one file only; publish the files one by one")
 	}
+	u, err := url.Parse(c.String("platform"))
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Errorf("got --platform %q, want http://address:port or https://address:port", c.String("platform"))
+	}
 	if c.Duration("wait") < 0 {
 		return fmt.Errorf("got --wait %s, want 0s or more", c.Duration("wait"))
 	}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -27,6 +27,8 @@
 	return &cli.Command{
 		Name:  "serve",
 		Usage: "run one daemon until it is told to stop",
+		Description: "SIGINT or SIGTERM drains it: new callers are refused, exchanges at work go on for a while.\n\n" +
+			"Example: cactusfork serve --settings entry-1.ini",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Required: true, Usage: "the daemon's INI file"},
 		},
@@ -92,8 +94,12 @@
 		{set.Daemon.PeerAddress, &p.Peers},
 		{set.Daemon.AdminAddress, &p.Admin},
 	}
-	for _, o := range listeners {
+	for i, o := range listeners {
 		if *o.l, err = net.Listen("tcp", o.address); err != nil {
+			for _, open := range listeners[:i] {
+				_ = (*open.l).Close()
+			}
+			done()
 			return nil, nil, fmt.Errorf("listen: %w", err)
 		}
 	}
--- a/internal/process/access/access_test.go
+++ b/internal/process/access/access_test.go
@@ -13,8 +13,11 @@
 	"encoding/pem"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"math/big"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -26,6 +29,7 @@
 
 	"github.com/cactusfork/cactusfork/internal/connection/caller"
 	"github.com/cactusfork/cactusfork/internal/process/entry"
+	"github.com/cactusfork/cactusfork/internal/process/fleet"
 	"github.com/cactusfork/cactusfork/internal/process/settings"
 	"github.com/cactusfork/cactusfork/internal/version/service"
 	"github.com/cactusfork/cactusfork/pkg/clock"
@@ -166,6 +170,32 @@
 	}
 }
 
+func TestOperatorsCertificate(t *testing.T) {
+	a := newAuthority(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{
+		TLSConfig: mutual(t, a.issue(t, "entry", forever)),
+		ErrorLog:  log.New(io.Discard, "", 0),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(`{"daemon":"entry-1"}`))
+		}),
+	}
+	defer s.Close()
+	go func() { _ = s.ServeTLS(l, "", "") }()
+	address := []string{l.Addr().String()}
+	if got := fleet.NewAsker(mutual(t, a.issue(t, "operator", forever))).Statuses(t.Context(), address)[0]; got.Err != nil || got.Status.Daemon != "entry-1" {
+		t.Errorf("got %+v, want the answer of entry-1", got)
+	}
+	for _, c := range []*tls.Config{nil, mutual(t, newAuthority(t).issue(t, "operator", forever))} {
+		if got := fleet.NewAsker(c).Statuses(t.Context(), address)[0]; got.Err == nil {
+			t.Errorf("got %+v, want no answer without a certificate of the authority", got.Status)
+		}
+	}
+}
+
 func TestWrongKey(t *testing.T) {
 	a := newAuthority(t)
 	f := a.issue(t, "one", forever)
--- a/internal/process/standins/plan.go
+++ b/internal/process/standins/plan.go
@@ -1,11 +1,13 @@
 package standins
 
 import (
-	"crypto/rand"
+	crand "crypto/rand"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 )
 
@@ -20,6 +22,12 @@
 	callerPorts = 11
 	peerPorts   = 21
 	adminPorts  = 31
+
+	// The range in which free ports are looked for.
+	firstFree = 15_000
+	lastFree  = 32_000
+	// freeAttempts is how many times free ports are looked for.
+	freeAttempts = 100
 )
 
 // plan is which address each process has.
@@ -32,16 +40,16 @@
 }
 
 func newPlan(port, daemons int) (*plan, error) {
-	p := &plan{}
 	if port == 0 {
-		return p, p.free(daemons)
+		return freePlan(daemons)
 	}
-	p.platform = address(port)
-	p.targets = addresses(port+targetPorts, members)
-	p.callers = addresses(port+callerPorts, daemons)
-	p.peers = addresses(port+peerPorts, daemons)
-	p.admins = addresses(port+adminPorts, daemons)
-	return p, nil
+	return &plan{
+		platform: address(port),
+		targets:  addresses(port+targetPorts, members),
+		callers:  addresses(port+callerPorts, daemons),
+		peers:    addresses(port+peerPorts, daemons),
+		admins:   addresses(port+adminPorts, daemons),
+	}, nil
 }
 
 func addresses(first, n int) []string {
@@ -52,26 +60,32 @@
 	return out
 }
 
-// free takes ports that nobody listens on; those of daemons are given back until the daemons start.
-func (p *plan) free(daemons int) error {
-	var held []net.Listener
-	defer func() {
-		for _, l := range held {
-			_ = l.Close()
+// freePlan finds ports that nobody listens on, below those that systems give out by themselves.
+//
+// The daemons' ports stay free until the daemons start, so they must not be given to anyone else meanwhile.
+func freePlan(daemons int) (*plan, error) {
+	var last error
+	for range freeAttempts {
+		p, err := newPlan(firstFree+rand.N(lastFree-firstFree), daemons)
+		if err != nil {
+			return nil, err
+		}
+		if last = p.check(); last == nil {
+			return p, nil
 		}
-	}()
-	p.platform = "127.0.0.1:0"
-	for range members {
-		p.targets = append(p.targets, "127.0.0.1:0")
 	}
-	for range daemons {
-		for _, list := range []*[]string{&p.callers, &p.peers, &p.admins} {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				return fmt.Errorf("find free port: %w", err)
-			}
-			held = append(held, l)
-			*list = append(*list, l.Addr().String())
+	return nil, fmt.Errorf("find free ports: %w", last)
+}
+
+// check listens on every address for a moment.
+func (p *plan) check() error {
+	for _, a := range slices.Concat([]string{p.platform}, p.targets, p.callers, p.peers, p.admins) {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return err
+		}
+		if err := l.Close(); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -83,7 +97,7 @@
 		return fmt.Errorf("make directory: %w", err)
 	}
 	key := make([]byte, keySize)
-	if _, err := rand.Read(key); err != nil {
+	if _, err := crand.Read(key); err != nil {
 		return fmt.Errorf("draw token key: %w", err)
 	}
 	if err := os.WriteFile(filepath.Join(dir, KeyFile), key, 0o600); err != nil {
