--- a/internal/command/docs_test.go
+++ b/internal/command/docs_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cactusfork/cactusfork/internal/process/access"
 	"github.com/cactusfork/cactusfork/internal/process/settings"
+	"github.com/cactusfork/cactusfork/internal/trial"
 	"github.com/cactusfork/cactusfork/internal/version/service"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
@@ -98,6 +99,18 @@
 	}
 }
 
+func TestTryPageNamesEveryFault(t *testing.T) {
+	text, err := os.ReadFile("../../docs/commands/try.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range trial.Faults() {
+		if !strings.Contains(string(text), string(f)) {
+			t.Errorf("got no %s on the page", f)
+		}
+	}
+}
+
 // TestPagesNameEveryOption compares the pages with the commands themselves.
 func TestPagesNameEveryOption(t *testing.T) {
 	for _, c := range newRoot(nil, nil).Commands {
--- a/internal/command/try.go
+++ b/internal/command/try.go
@@ -25,7 +25,7 @@
 			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address of the first daemon; the others take the next ports"},
 			&cli.IntFlag{Name: "seconds", Value: 5, Usage: "length of the load; 0 serves without load until interrupted"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the sessions"},
-			&cli.StringFlag{Name: "fault", Value: string(trial.NoFault), Usage: "none, primary-crash, primary-cut, primary-pause, replicas-lag, platform-down or daemon-crash"},
+			&cli.StringFlag{Name: "fault", Value: string(trial.NoFault), Usage: "one of " + faultNames()},
 			&cli.StringFlag{Name: "policy", Value: string(entry.Default), Usage: "default or primary-only"},
 			&cli.StringFlag{Name: "report", Value: "text", Usage: "text or json"},
 		},
@@ -96,3 +96,11 @@
 	}
 	return nil
 }
+
+func faultNames() string {
+	var names []string
+	for _, f := range trial.Faults() {
+		names = append(names, string(f))
+	}
+	return strings.Join(names, ", ")
+}
