--- /dev/null
+++ b/internal/process/control/samples_test.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/cactusfork/cactusfork/internal/request/route"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+func TestThinKeepsASampleOfEveryAge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []route.Sample
+		now := clock.Millis(1)
+		steps := rapid.SliceOfN(rapid.Int64Range(1, 200), 1, 3000).Draw(t, "steps")
+		for _, step := range steps {
+			now += clock.Millis(step)
+			all = thin(all, route.Sample{AskedAt: now}, now)
+		}
+		if got := len(all); got > sampleLimit {
+			t.Fatalf("got %d samples, want at most %d", got, sampleLimit)
+		}
+		if got := all[len(all)-1].AskedAt; got != now {
+			t.Fatalf("got newest sample %d, want %d", got, now)
+		}
+		for i := 1; i < len(all); i++ {
+			if all[i].AskedAt <= all[i-1].AskedAt {
+				t.Fatalf("got %v, want rising times", all)
+			}
+		}
+		// A read that accepts 5 s needs a sample not much younger than that.
+		for _, s := range all {
+			age := now - s.AskedAt
+			if age <= 5*clock.Second && age >= 3*clock.Second {
+				return
+			}
+		}
+		if now > 20*clock.Second {
+			t.Fatalf("got no sample between 3 and 5 s old of %d at %d", len(all), now)
+		}
+	})
+}
--- a/internal/process/entry/daemon.go
+++ b/internal/process/entry/daemon.go
@@ -32,6 +32,8 @@
 const (
 	// viewsAsked is how many peers are asked before a primary is held to have failed.
 	viewsAsked = 3
+	// mostTargets is the largest group: in one of three, what a replica has received a majority holds.
+	mostTargets = 3
 	// probePause is the least time between two questions to a target while a request waits, in milliseconds.
 	probePause clock.Millis = 1
 )
@@ -278,8 +280,8 @@
 	if err := json.Unmarshal(o.Value, &rec); err != nil {
 		return fmt.Errorf("decode group: %w", err)
 	}
-	if len(rec.Targets) == 0 {
-		return errors.New("group without targets")
+	if n := len(rec.Targets); n == 0 || n > mostTargets {
+		return fmt.Errorf("group of %d targets, want 1 to %d", n, mostTargets)
 	}
 	return nil
 }
