--- a/internal/version/group/catch_test.go
+++ b/internal/version/group/catch_test.go
@@ -81,14 +81,14 @@
 	s.wake("t2")
 }
 
-// standStill leaves two primaries behind whose terms are below all promises.
+// standStill leaves two primaries behind whose terms are far below all promises.
 func standStill(s *sim) {
 	for i, term := range []position.Term{1, 2, 3} {
 		t := s.targets[s.ids[i]]
 		if term > 1 {
 			t.order(s, Order{Kind: Promote, Term: term, Holder: "gone"})
 		}
-		t.order(s, Order{Kind: Fence, Term: 4, Holder: "gone"})
+		t.order(s, Order{Kind: Fence, Term: 100, Holder: "gone"})
 	}
 }
 
