capacity: wait until memory stands still and publish before watches end

Cause: memory of 60 members came out below 0 in one run, as buffers of the last measurement were freed meanwhile; calls for a change came out as 4 instead of 2, as watches that ended in vain between two changes were counted. Change: memory is collected until it stands still; changes follow each other faster than a watch ends.

--- a/internal/capacity/daemons.go
+++ b/internal/capacity/daemons.go
@@ -22,9 +22,9 @@
 const (
 	// restWindow is how long calls at rest are counted.
 	restWindow = 8 * time.Second
-	// publishings is the number of changes published, one every changeEvery.
+	// publishings is the number of changes published, one every changeEvery, before a watch has waited in vain.
 	publishings = 5
-	changeEvery = 1200 * time.Millisecond
+	changeEvery = 700 * time.Millisecond
 	// watchFor is how long a watch waits at the stand-in platform.
 	watchFor = clock.Second
 	// readyLimit bounds the wait for daemons to be ready.
--- a/internal/capacity/usage.go
+++ b/internal/capacity/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"runtime"
 	"sync/atomic"
@@ -53,8 +54,28 @@
 	return u.cpu / float64(n), err
 }
 
-// held is the live heap and the stacks, in bytes.
+const (
+	// settled is the least change of memory that counts as one, in bytes.
+	settled = 1024
+	// collections bounds how often memory is collected until it stands still.
+	collections = 20
+)
+
+// held is the live heap and the stacks, in bytes, once collecting frees no more; buffers that are kept for reuse go with the second collection only.
 func held() float64 {
+	last := collected()
+	for range collections {
+		time.Sleep(5 * time.Millisecond)
+		now := collected()
+		if math.Abs(now-last) < settled {
+			return now
+		}
+		last = now
+	}
+	return last
+}
+
+func collected() float64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
