--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -186,6 +186,9 @@
 	e.add(role, how+", questions, target's end included", core(e.each(QuestionCPU)*asked), Core, coreLimit)
 	e.add(role, how+", questions", kilobytes(e.each(QuestionBytes)*asked), KBs, networkLimit)
 	e.add(role, how+", questions without their text", kilobytes(e.bare()*asked), KBs, networkLimit)
+	e.add(role, "sum: the same, idle daemon, members' table",
+		core(e.each(SlowLoopCPU)*groups+e.each(QuestionCPU)*asked+e.each(DaemonIdleCPU)+e.p.heartbeats*e.at(TickCPU, e.n.Daemons)), Core, coreLimit)
+	e.add(role, "sum: questions without their text, heartbeats", kilobytes(e.bare()*asked+2*e.p.heartbeats*e.heartbeat()), KBs, networkLimit)
 }
 
 // bare is the bytes of a question and its answer without the question's text.
