command: count the daemons that were asked, however their address is known

The progress of publish counted the addresses given, and its test held only while daemons do not tell each other's admin addresses; with these told it waited for a line that never came.

--- a/internal/command/publish.go
+++ b/internal/command/publish.go
@@ -150,13 +150,13 @@
 	}
 	defer cancel()
 	p := asker.Await(within, clk, addresses, wanted, func(p *fleet.Progress) {
-		_, _ = fmt.Fprintf(w, "in force on %d of %d asked daemons: %s\n", len(p.Held), len(addresses), ids(p.Held))
+		_, _ = fmt.Fprintf(w, "in force on %d of %d asked daemons: %s\n", len(p.Held), len(p.Held)+len(p.Missing), ids(p.Held))
 		if wait == 0 {
 			cancel()
 		}
 	})
 	if len(p.Unasked) > 0 {
-		_, _ = fmt.Fprintf(w, "only the given addresses were asked; live daemons not asked: %s\n", ids(p.Unasked))
+		_, _ = fmt.Fprintf(w, "only known admin addresses were asked; live daemons not asked: %s\n", ids(p.Unasked))
 	}
 	if p.Done() {
 		return nil
