capacity: count connections, which daemons divide and warm as well

Cause: daemons have come to divide connections and to warm them. Change: shares are reckoned twice a target; connections to one target are rows.

--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -116,6 +116,9 @@
 	e.add(role, "whole daemon without groups and callers", megabytes(e.each(DaemonIdleBytes)), Megabytes, memoryLimit)
 }
 
+// divided is the number of things of a target that daemons divide: slots and connections.
+const divided = 2
+
 // watching adds what a daemon pays that holds so many groups.
 func (e *estimate) watching(role, how string, groups float64) {
 	asked := e.targets(groups) * e.p.questions
@@ -125,8 +128,8 @@
 	e.add(role, how+", questions", kilobytes(e.each(QuestionBytes)*asked), KBs, networkLimit)
 	e.add(role, how+", machines and connections, target's end included",
 		megabytes(e.each(LoopBytes)*groups+e.each(LinkBytes)*e.targets(groups)), Megabytes, memoryLimit)
-	e.add(role, how+", shares of slots, scan of demands not measured",
-		core(e.at(ShareCPU, e.n.Daemons)*e.targets(groups)*e.p.shares), Core, coreLimit)
+	e.add(role, how+", shares of slots and connections, scan of demands not measured",
+		core(divided*e.at(ShareCPU, e.n.Daemons)*e.targets(groups)*e.p.shares), Core, coreLimit)
 }
 
 func (e *estimate) everyGroup() { e.watching("entry daemon", "today: all groups", e.n.Groups) }
@@ -207,6 +210,8 @@
 	outage := e.n.Changes / 24 // groups changed in an hour without the platform
 	e.add(role, "today: daemons that may start one change", e.n.Daemons, Number, 0)
 	e.add(role, "homes: daemons that may start one change", e.n.Homes, Number, 0)
+	e.add(role, "today: connections to one target, warm ones and one for control", e.n.Daemons*(e.p.warm+1), Number, 0)
+	e.add(role, "homes: connections to one target, warm ones and one for control", e.n.Homes*(e.p.warm+1), Number, 0)
 	e.add(role, "today: one target asked by all, both ends", ask(e.n.Daemons), Core, 0)
 	e.add(role, "homes: one target asked by its homes, both ends", ask(e.n.Homes), Core, 0)
 	e.add(role, "today: records repaired after an hour without platform", outage*e.n.Daemons/e.p.recordRetry, Calls, writeLimit)
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -63,6 +63,7 @@
 	tellings    float64 // of one change, times the bits of the number of members
 	recordRetry float64 // seconds, mean
 	lostAfter   float64 // seconds
+	warm        float64 // connections of a service to a target
 }
 
 // shareEvery and tellRounds are those of the daemon and of the members' table, which keep them to themselves.
@@ -83,6 +84,7 @@
 		tellings:    tellRounds,
 		recordRetry: 1.5 * seconds(machine.RecordRetry),
 		lostAfter:   float64(table.LostAfter) * seconds(cfg.Period),
+		warm:        float64(cfg.Targets.Warm),
 	}
 }
 
