peer, fleet: let one admin address lead to all daemons

Cause: publish waited for the daemons whose addresses it was given only, though a version must be in force on every live one; and every change of membership was written to the time line as a peer that joined. Change: daemons tell each other their admin addresses; publish and status ask further; peer-joined and peer-lost name the peer.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	s := fleet.Merge(asker.Statuses(ctx, c.StringSlice("admin")))
+	s := fleet.Merge(asker.Fleet(ctx, c.StringSlice("admin")))
 	print := printStatus
 	if report == "json" {
 		print = func(w io.Writer, s *fleet.Status) error { return printJSON(w, s) }
--- a/internal/process/entry/admin.go
+++ b/internal/process/entry/admin.go
@@ -4,10 +4,8 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/cactusfork/cactusfork/internal/process/peer"
 	"github.com/cactusfork/cactusfork/internal/process/platform"
 )
 
@@ -55,11 +53,3 @@
 }
 
 func version(v platform.Version) string { return strconv.FormatUint(uint64(v), 10) }
-
-func names(all []peer.Member) string {
-	out := make([]string, 0, len(all))
-	for _, m := range all {
-		out = append(out, string(m.ID))
-	}
-	return strings.Join(out, " ")
-}
--- a/internal/process/entry/daemon.go
+++ b/internal/process/entry/daemon.go
@@ -80,6 +80,7 @@
 	server  *caller.Server
 	meter   *meter
 	ready   atomic.Bool
+	known   known
 }
 
 // New joins the parts of a daemon; nothing runs before Run.
@@ -90,12 +91,13 @@
 	d.loop = control.New(d.controlConfig(), p.Clock, d.controlSeams())
 	d.holder = config.New(d.holderConfig(), p.Clock, d.holderSeams())
 	d.mesh = peer.New(peer.Config{
-		ID:         cfg.ID,
-		Address:    p.Peers.Addr().String(),
-		DataCentre: cfg.DataCentre,
-		Period:     cfg.Period,
-		TLS:        p.Access.PeerTLS,
-		Wrap:       func(next http.RoundTripper) http.RoundTripper { return &stampTransport{d: d, next: next} },
+		ID:           cfg.ID,
+		Address:      p.Peers.Addr().String(),
+		AdminAddress: p.Admin.Addr().String(),
+		DataCentre:   cfg.DataCentre,
+		Period:       cfg.Period,
+		TLS:          p.Access.PeerTLS,
+		Wrap:         func(next http.RoundTripper) http.RoundTripper { return &stampTransport{d: d, next: next} },
 	}, p.Clock, d.peerSeams())
 	d.router = &router{clk: p.Clock, loop: d.loop, targets: d.targets, policy: cfg.Policy, place: cfg.DataCentre, meter: d.meter, replicaWait: cfg.ReplicaWait, retries: newRetries(p.Clock)}
 	d.server = caller.New(cfg.Callers, d.callerSeams())
--- a/internal/process/entry/status.go
+++ b/internal/process/entry/status.go
@@ -54,9 +54,10 @@
 
 // PeerStatus is another daemon held to be live.
 type PeerStatus struct {
-	ID         group.DaemonID   `json:"id"`
-	Address    string           `json:"address"`
-	DataCentre group.DataCentre `json:"data-centre"`
+	ID           group.DaemonID   `json:"id"`
+	Address      string           `json:"address"`
+	AdminAddress string           `json:"admin-address"`
+	DataCentre   group.DataCentre `json:"data-centre"`
 }
 
 // Status collects what operators ask for.
@@ -70,7 +71,7 @@
 		s.Objects = append(s.Objects, ObjectStatus{Key: string(h.Key), Version: uint64(h.Version)})
 	}
 	for _, p := range d.mesh.Live() {
-		s.Peers = append(s.Peers, PeerStatus{ID: p.ID, Address: p.Address, DataCentre: p.DataCentre})
+		s.Peers = append(s.Peers, PeerStatus{ID: p.ID, Address: p.Address, AdminAddress: p.AdminAddress, DataCentre: p.DataCentre})
 	}
 	return s
 }
--- a/internal/process/entry/vms.go
+++ b/internal/process/entry/vms.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/cactusfork/cactusfork/internal/process/peer"
 	"github.com/cactusfork/cactusfork/internal/process/platform"
@@ -82,7 +83,29 @@
 	return out
 }
 
-// membersChanged puts the live daemons on the time line.
+// membersChanged puts daemons that came or went on the time line.
 func (d *Daemon) membersChanged() {
-	d.event(event.Event{Kind: event.PeerJoined, Detail: names(d.mesh.Live())})
+	now := make(map[group.DaemonID]bool)
+	for _, m := range d.mesh.Live() {
+		now[m.ID] = true
+	}
+	d.known.mu.Lock()
+	defer d.known.mu.Unlock()
+	for id := range now {
+		if !d.known.ids[id] {
+			d.event(event.Event{Kind: event.PeerJoined, Detail: string(id)})
+		}
+	}
+	for id := range d.known.ids {
+		if !now[id] {
+			d.event(event.Event{Kind: event.PeerLost, Detail: string(id)})
+		}
+	}
+	d.known.ids = now
+}
+
+// known are the peers of the last change.
+type known struct {
+	mu  sync.Mutex
+	ids map[group.DaemonID]bool
 }
--- a/internal/process/fleet/ask.go
+++ b/internal/process/fleet/ask.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/cactusfork/cactusfork/internal/process/entry"
@@ -40,7 +41,7 @@
 	if cfg != nil {
 		a.scheme = "https://"
 	}
-	a.http = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}, Timeout: askTimeout.Duration()}
+	a.http = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg, IdleConnTimeout: askTimeout.Duration()}, Timeout: askTimeout.Duration()}
 	return a
 }
 
@@ -56,6 +57,24 @@
 	})
 }
 
+// Fleet asks the daemons at the addresses, and then those that these hold to be live and name an address of.
+func (a *Asker) Fleet(ctx context.Context, addresses []string) []Answer {
+	answers := a.Statuses(ctx, addresses)
+	var further []string
+	for _, o := range answers {
+		if o.Err != nil {
+			continue
+		}
+		for _, p := range o.Status.Peers {
+			known := slices.Contains(addresses, p.AdminAddress) || slices.Contains(further, p.AdminAddress)
+			if p.AdminAddress != "" && !known {
+				further = append(further, p.AdminAddress)
+			}
+		}
+	}
+	return append(answers, a.Statuses(ctx, further)...)
+}
+
 // Events are the kept events of one daemon, or why there are none.
 type Events struct {
 	Address string
--- a/internal/process/fleet/await.go
+++ b/internal/process/fleet/await.go
@@ -27,18 +27,18 @@
 	Held []group.DaemonID
 	// Missing says for each asked daemon or address what it lacks.
 	Missing []string
-	// Unasked are live daemons of which no address was given.
+	// Unasked are live daemons of which no address is known.
 	Unasked []group.DaemonID
 }
 
 // Done reports whether every asked daemon has the versions in force.
 func (p *Progress) Done() bool { return len(p.Missing) == 0 }
 
-// Await asks the addresses until all hold what is wanted or ctx ends, and tells each round that brought something new.
+// Await asks the addresses, and the live daemons that these know, until all hold what is wanted or ctx ends, and tells each round that brought something new.
 func (a *Asker) Await(ctx context.Context, clk *clock.Clock, addresses []string, wanted []Wanted, tell func(*Progress)) *Progress {
 	var last *Progress
 	for {
-		p := progressOf(a.Statuses(ctx, addresses), wanted)
+		p := progressOf(a.Fleet(ctx, addresses), wanted)
 		if ctx.Err() != nil && last != nil {
 			return last
 		}
@@ -68,6 +68,7 @@
 		}
 		p.Missing = append(p.Missing, fmt.Sprintf("%s has %s", a.Status.Daemon, strings.Join(lacks, ", ")))
 	}
+	slices.Sort(p.Held)
 	p.Unasked = unasked(answers, asked)
 	return p
 }
--- a/internal/process/peer/mesh.go
+++ b/internal/process/peer/mesh.go
@@ -25,9 +25,11 @@
 
 // Config says who this daemon is among its peers.
 type Config struct {
-	ID         group.DaemonID
-	Address    string
-	DataCentre group.DataCentre
+	ID      group.DaemonID
+	Address string
+	// AdminAddress is told to peers, for operators who know one daemon only.
+	AdminAddress string
+	DataCentre   group.DataCentre
 	// Period is the time between two rounds of probes and bounds each call; 0 means DefaultPeriod.
 	Period clock.Millis
 	// TLS is used for calls to peers, with this daemon's certificate for mutual TLS; nil means cleartext.
@@ -78,10 +80,11 @@
 		cfg.Period = DefaultPeriod
 	}
 	self := Member{
-		ID:          cfg.ID,
-		Address:     cfg.Address,
-		DataCentre:  cfg.DataCentre,
-		Incarnation: Incarnation(max(1, clk.Wall())),
+		ID:           cfg.ID,
+		Address:      cfg.Address,
+		AdminAddress: cfg.AdminAddress,
+		DataCentre:   cfg.DataCentre,
+		Incarnation:  Incarnation(max(1, clk.Wall())),
 	}
 	m := &Mesh{
 		cfg:       cfg,
--- a/internal/process/peer/types.go
+++ b/internal/process/peer/types.go
@@ -32,11 +32,13 @@
 
 // Member is a daemon held to be live.
 type Member struct {
-	ID          group.DaemonID
-	Address     string
-	DataCentre  group.DataCentre
-	Incarnation Incarnation
-	Demand      []Demand
+	ID      group.DaemonID
+	Address string
+	// AdminAddress is where the daemon answers operators.
+	AdminAddress string
+	DataCentre   group.DataCentre
+	Incarnation  Incarnation
+	Demand       []Demand
 	// Lost is true while nothing is heard of the member's data centre.
 	Lost bool
 }
--- a/internal/process/peer/wire.go
+++ b/internal/process/peer/wire.go
@@ -26,6 +26,7 @@
 		Incarnation:    uint64(e.Incarnation),
 		State:          peerv1.State(e.State),
 		DemandSequence: uint64(e.Sequence),
+		AdminAddress:   e.AdminAddress,
 	}
 	if !e.live() {
 		m.AgeMs = int64(now - e.Since)
@@ -55,10 +56,11 @@
 	}
 	e := Entry{
 		Member: Member{
-			ID:          group.DaemonID(m.GetId()),
-			Address:     m.GetAddress(),
-			DataCentre:  group.DataCentre(m.GetDataCentre()),
-			Incarnation: Incarnation(m.GetIncarnation()),
+			ID:           group.DaemonID(m.GetId()),
+			Address:      m.GetAddress(),
+			AdminAddress: m.GetAdminAddress(),
+			DataCentre:   group.DataCentre(m.GetDataCentre()),
+			Incarnation:  Incarnation(m.GetIncarnation()),
 		},
 		State:    State(m.GetState()),
 		Since:    now - clock.Millis(max(0, m.GetAgeMs())),
@@ -80,7 +82,7 @@
 		return false
 	case m.GetAddress() == "" || len(m.GetAddress()) > maxName:
 		return false
-	case len(m.GetDataCentre()) > maxName:
+	case len(m.GetDataCentre()) > maxName, len(m.GetAdminAddress()) > maxName:
 		return false
 	case m.GetState() < peerv1.State_STATE_ALIVE || m.GetState() > peerv1.State_STATE_LEFT:
 		return false
