entry: say goodbye before a stop, and name sessions on the time line

Cause: an idle daemon told to stop ended before its peers were told, its health check never failed while callers were still taken, and a new configuration could turn it ready again; refusals named no session and counts no weight. Change: a stopping daemon fails its health check, tells its peers, serves on for notice (2 s), and only then stops taking callers and drains; draining is for good; refusals and unknown outcomes name the caller's application, or its connection. Test: an idle daemon's peers learn of its stop; the drain tests as before.

--- a/internal/connection/caller/config.go
+++ b/internal/connection/caller/config.go
@@ -161,4 +161,8 @@
 	Attempts int
 	Arrived  clock.Millis
 	Finished clock.Millis
+	// Weight is that of the request; Application and Connection tell whose it was.
+	Weight      int
+	Application string
+	Connection  uint32
 }
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -43,6 +43,8 @@
 	answer     answer
 	plan       plan
 	tx         transaction
+	// application is the name that the caller gave itself.
+	application string
 	// told is the floor whose token the caller has.
 	told position.Point
 	// skipping is true from an error behind a Flush up to the next Sync.
--- a/internal/connection/caller/run.go
+++ b/internal/connection/caller/run.go
@@ -170,14 +170,17 @@
 
 func (c *conn) outcome(r Result, code string) Outcome {
 	return Outcome{
-		Service:  c.service.Name,
-		Request:  c.tx.request.Name,
-		Kind:     c.tx.request.Kind,
-		Result:   r,
-		Code:     code,
-		Attempts: c.tx.attempts,
-		Arrived:  c.tx.arrived,
-		Finished: c.server.cfg.Clock.Now(),
+		Service:     c.service.Name,
+		Request:     c.tx.request.Name,
+		Kind:        c.tx.request.Kind,
+		Result:      r,
+		Code:        code,
+		Attempts:    c.tx.attempts,
+		Arrived:     c.tx.arrived,
+		Finished:    c.server.cfg.Clock.Now(),
+		Weight:      c.tx.request.Weight,
+		Application: c.application,
+		Connection:  c.key.id,
 	}
 }
 
--- a/internal/connection/caller/startup.go
+++ b/internal/connection/caller/startup.go
@@ -238,6 +238,7 @@
 		maps.Copy(values, c.server.seams.Parameters(c.service.Name))
 	}
 	values["application_name"] = asked["application_name"]
+	c.application = asked["application_name"]
 	c.answer.reset()
 	if minor > 0 {
 		c.answer.add(&pgproto3.NegotiateProtocolVersion{})
--- a/internal/process/entry/daemon.go
+++ b/internal/process/entry/daemon.go
@@ -34,6 +34,8 @@
 	viewsAsked = 3
 	// mostTargets is the largest group: in one of three, what a replica has received a majority holds.
 	mostTargets = 3
+	// farewellTime bounds the announcement of a stop to peers.
+	farewellTime = 2 * clock.Second
 	// probePause is the least time between two questions to a target while a request waits, in milliseconds.
 	probePause clock.Millis = 1
 )
@@ -51,6 +53,8 @@
 	Period     clock.Millis // between two heartbeats
 	StoreFor   clock.Millis // for one call of the platform
 	Watchers   int          // of the platform, in each data centre
+	// Notice is how long a stopping daemon still takes callers while its health check fails.
+	Notice clock.Millis
 	// ReplicaWait is how long a read may wait for a replica before it turns to the primary; 0 means not at all.
 	ReplicaWait clock.Millis
 }
@@ -80,7 +84,9 @@
 	server  *caller.Server
 	meter   *meter
 	ready   atomic.Bool
-	known   known
+	// draining is set once for good, whatever becomes ready later.
+	draining atomic.Bool
+	known    known
 }
 
 // New joins the parts of a daemon; nothing runs before Run.
@@ -125,9 +131,14 @@
 	wg.Go(func() { d.warm(inner) })
 	wg.Go(func() { d.serveHTTP(inner, d.p.Peers, d.peerHandler(), d.p.Access.PeerTLS) })
 	wg.Go(func() { d.serveHTTP(inner, d.p.Admin, d.adminHandler(), d.p.Access.AdminTLS) })
-	leaving := context.AfterFunc(ctx, func() { d.leave(inner) })
+	serving, endServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer endServing()
+	leaving := context.AfterFunc(ctx, func() {
+		d.leave(inner)
+		endServing()
+	})
 	defer leaving()
-	err := d.server.Serve(ctx, d.p.Callers)
+	err := d.server.Serve(serving, d.p.Callers)
 	d.event(event.Event{Kind: event.Stopped})
 	stop()
 	wg.Wait()
@@ -152,15 +163,18 @@
 func (d *Daemon) Flush() { d.meter.flush() }
 
 // Ready reports whether the daemon takes new callers.
-func (d *Daemon) Ready() bool { return d.ready.Load() }
+func (d *Daemon) Ready() bool { return d.ready.Load() && !d.draining.Load() }
 
-// leave tells the balancer and the peers before callers notice anything.
+// leave tells the balancer and the peers, and serves on until they have had time to act on it.
 func (d *Daemon) leave(ctx context.Context) {
-	d.ready.Store(false)
+	d.draining.Store(true)
 	d.event(event.Event{Kind: event.Draining})
-	if err := d.mesh.Leave(ctx); err != nil && !errors.Is(err, context.Canceled) {
+	within, cancel := context.WithTimeout(ctx, farewellTime.Duration())
+	defer cancel()
+	if err := d.mesh.Leave(within); err != nil && !errors.Is(err, context.Canceled) {
 		d.p.Log.Warn("leave peers", zap.Error(err))
 	}
+	_ = d.p.Clock.Sleep(ctx, d.cfg.Notice)
 }
 
 func (d *Daemon) report(part string, err error) {
@@ -289,7 +303,7 @@
 }
 
 func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, h http.Handler, tlsCfg tlsConfig) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, TLSConfig: tlsCfg}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, TLSConfig: tlsCfg, ErrorLog: zap.NewStdLog(d.p.Log)}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	var err error
--- a/internal/process/entry/defaults.go
+++ b/internal/process/entry/defaults.go
@@ -49,7 +49,8 @@
 	cfg.ReplicaWait = s.Targets.ReplicaWait
 	cfg.Callers.MaxConnections = s.Callers.Connections
 	cfg.Callers.RequestTimeout = s.Callers.Deadline
-	cfg.Callers.DrainTimeout = s.Callers.Drain
+	cfg.Callers.DrainTimeout = max(s.Callers.Drain, 1)
+	cfg.Notice = s.Callers.Notice
 	cfg.Probe.Interval = s.Failover.ProbeInterval
 	cfg.Probe.Timeout = s.Failover.ProbeTimeout
 	cfg.Machine.ProbeInterval = s.Failover.ProbeInterval
--- a/internal/process/entry/meter.go
+++ b/internal/process/entry/meter.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/rcrowley/go-metrics"
@@ -69,7 +70,7 @@
 	key := requestKey{service: o.Service, request: o.Request, kind: o.Kind}
 	c := m.counts[key]
 	if c == nil {
-		c = &event.Counts{Kind: string(o.Kind)}
+		c = &event.Counts{Kind: string(o.Kind), Weight: o.Weight}
 		m.counts[key] = c
 	}
 	return c
@@ -102,7 +103,7 @@
 
 // tell puts refusals and unknown outcomes on the time line.
 func (m *meter) tell(o caller.Outcome) {
-	e := event.Event{Service: string(o.Service), Request: string(o.Request), Target: string(o.Target), Code: o.Code}
+	e := event.Event{Service: string(o.Service), Request: string(o.Request), Target: string(o.Target), Code: o.Code, Session: sessionOf(o)}
 	switch o.Result {
 	case caller.Refused:
 		e.Kind = event.Refused
@@ -114,6 +115,14 @@
 	m.report(e)
 }
 
+// sessionOf names a session by its application, or else by its connection to this daemon.
+func sessionOf(o caller.Outcome) string {
+	if o.Application != "" {
+		return o.Application
+	}
+	return "connection-" + strconv.FormatUint(uint64(o.Connection), 10)
+}
+
 // wrote notes the first write that this daemon saw acknowledged in a term.
 func (m *meter) wrote(id group.ID, t group.TargetID, term position.Term) {
 	m.mu.Lock()
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -28,6 +28,7 @@
 type Callers struct {
 	Connections   int          `ini:"connections" default:"5000" min:"1" max:"100000"`
 	Deadline      clock.Millis `ini:"deadline" default:"10s" min:"10ms" max:"10m"`
+	Notice        clock.Millis `ini:"notice" default:"2s" min:"0s" max:"1m"`
 	Drain         clock.Millis `ini:"drain" default:"20s" min:"0s" max:"10m"`
 	Queue         int          `ini:"queue" default:"512" min:"1" max:"100000"`
 	TokenKey      string       `ini:"token-key-file" kind:"file"`
--- a/internal/trial/operation_test.go
+++ b/internal/trial/operation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -113,6 +114,28 @@
 	}
 }
 
+func TestIdleDaemonSaysGoodbye(t *testing.T) {
+	s, ctx := newTestStage(t, &Config{})
+	s.actors[2].drain()
+	left := func() bool {
+		for _, a := range s.actors[:2] {
+			if len(a.daemon.Status().Peers) != 1 {
+				return false
+			}
+		}
+		return true
+	}
+	if err := s.await(ctx, "the peers to know", left); err != nil {
+		t.Error(err)
+	}
+	stopped := func() bool {
+		return slices.ContainsFunc(s.Events[2].Events(), func(e event.Event) bool { return e.Kind == event.Stopped })
+	}
+	if err := s.await(ctx, "the stop on the time line", stopped); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestWriteIsReadThroughAnyDaemonByAPlainCaller(t *testing.T) {
 	s, ctx := newTestStage(t, &Config{Lag: 150})
 	for i, address := range s.Addresses() {
