entry, trial: name things by the terms of the field

Cause: names such as desk, quest, reign, stage, actor, roamer and book were metaphors of our own. Change: slotGate, acquisition, TermScope, Environment, instance, session, ackLog; files named after them.

--- a/internal/command/try.go
+++ b/internal/command/try.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return &badInput{err: err}
 	}
-	cfg.Started = func(s *trial.Stage) { printStage(stdout, s) }
+	cfg.Started = func(s *trial.Environment) { printEnvironment(stdout, s) }
 	r, err := trial.Run(ctx, cfg, clock.System(), newLog(stderr, zapcore.ErrorLevel))
 	if err != nil {
 		return fmt.Errorf("trial: %w", err)
@@ -74,7 +74,7 @@
 	}, nil
 }
 
-func printStage(w io.Writer, s *trial.Stage) {
+func printEnvironment(w io.Writer, s *trial.Environment) {
 	_, _ = fmt.Fprintf(w, "callers: %s (user precios, database precios, no password)\n", strings.Join(s.Addresses(), " "))
 	_, _ = fmt.Fprintf(w, "admin: %s\n", strings.Join(s.AdminAddresses(), " "))
 }
--- a/internal/process/control/views.go
+++ b/internal/process/control/views.go
@@ -23,13 +23,13 @@
 	view    atomic.Pointer[route.View]
 	mu      sync.Mutex
 	changed chan struct{}
-	reign   context.Context
+	scope   context.Context
 	end     context.CancelFunc
 }
 
 func newCell(v *route.View, w *probe.Group) *Cell {
 	c := &Cell{watch: w, changed: make(chan struct{})}
-	c.reign, c.end = context.WithCancel(context.Background())
+	c.scope, c.end = context.WithCancel(context.Background())
 	c.view.Store(v)
 	return c
 }
@@ -47,20 +47,20 @@
 // View returns the view in force.
 func (c *Cell) View() *route.View { return c.view.Load() }
 
-// Reign is the time of one primary, which ends when a primary of a later term is known.
-type Reign struct{ ctx context.Context }
+// TermScope lasts as long as no primary of a later term is known.
+type TermScope struct{ ctx context.Context }
 
-// Ended reports whether a later primary is known.
-func (r Reign) Ended() bool { return r.ctx.Err() != nil }
+// Ended reports whether a primary of a later term is known.
+func (r TermScope) Ended() bool { return r.ctx.Err() != nil }
 
-// AfterEnd calls f once the reign has ended; stop takes that back and reports whether f was not called.
-func (r Reign) AfterEnd(f func()) (stop func() bool) { return context.AfterFunc(r.ctx, f) }
+// AfterEnd calls f once the scope has ended; stop takes that back and reports whether f was not called.
+func (r TermScope) AfterEnd(f func()) (stop func() bool) { return context.AfterFunc(r.ctx, f) }
 
-// Reign returns the reign of the present view.
-func (c *Cell) Reign() Reign {
+// TermScope returns the scope of the present term.
+func (c *Cell) TermScope() TermScope {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Reign{ctx: c.reign}
+	return TermScope{ctx: c.scope}
 }
 
 func (c *Cell) store(v *route.View) {
@@ -68,7 +68,7 @@
 	defer c.mu.Unlock()
 	if v.Record.Term > c.view.Load().Record.Term {
 		c.end()
-		c.reign, c.end = context.WithCancel(context.Background())
+		c.scope, c.end = context.WithCancel(context.Background())
 	}
 	c.view.Store(v)
 	close(c.changed)
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -19,7 +19,7 @@
 type grant struct {
 	svc    *service.Service
 	term   position.Term
-	reign  control.Reign
+	scope  control.TermScope
 	target *group.Target
 	choice route.Choice
 	conn   *target.Conn
@@ -33,7 +33,7 @@
 	if l.Primary {
 		l.Term = g.term
 		// Nothing that a replaced primary still answers can be acknowledged.
-		forget = g.reign.AfterEnd(g.conn.Close)
+		forget = g.scope.AfterEnd(g.conn.Close)
 	}
 	pool := r.targets.pool(g.target, string(g.svc.Name))
 	l.Release = func(reuse bool, o caller.Outcome) {
@@ -50,19 +50,19 @@
 // settle learns from how a request at a target ended.
 func (r *router) settle(ctx context.Context, g *grant, reuse bool, o caller.Outcome) {
 	r.meter.sent(o)
-	desk := r.targets.desk(g.target)
+	gate := r.targets.slotGate(g.target)
 	if o.Code == slotsFullCode {
-		desk.refused(r.clk.Now())
+		gate.refused(r.clk.Now())
 		return
 	}
 	if o.Result == caller.Acknowledged {
-		desk.served()
+		gate.served()
 	}
 	wrote := g.choice.Kind == route.Primary && o.Kind == service.Write
 	if o.Result == caller.Acknowledged && wrote {
 		r.meter.wrote(g.svc.Group, g.target.ID, g.term)
 	}
-	if !reuse && o.Result != caller.Lost && !g.reign.Ended() {
+	if !reuse && o.Result != caller.Lost && !g.scope.Ended() {
 		r.loop.Failed(ctx, g.svc.Group, g.target.ID, group.Reset)
 	}
 }
--- a/internal/process/entry/router.go
+++ b/internal/process/entry/router.go
@@ -82,8 +82,8 @@
 	if err := r.again(ctx, n, o); err != nil {
 		return nil, err
 	}
-	q := &quest{r: r, svc: svc, cell: c, need: n, patience: r.patience(c, n)}
-	return q.run(ctx)
+	a := &acquisition{r: r, svc: svc, cell: c, need: n, patience: r.patience(c, n)}
+	return a.run(ctx)
 }
 
 // again lets a further attempt pass once the budget and a pause allow it.
@@ -134,7 +134,7 @@
 	switch {
 	case errors.As(err, &said):
 		if said.Code == slotsFullCode {
-			r.targets.desk(t).refused(r.clk.Now())
+			r.targets.slotGate(t).refused(r.clk.Now())
 		}
 	case errors.Is(err, target.ErrPoolBusy), errors.Is(err, context.Canceled), ctx.Err() != nil:
 	default:
--- a/internal/process/entry/shares.go
+++ b/internal/process/entry/shares.go
@@ -37,13 +37,13 @@
 
 // divide sets this daemon's share of the slots and of the connections of t.
 func (d *Daemon) divide(now clock.Millis, t *group.Target, live []peer.Member) {
-	desk := d.targets.desk(t)
-	demands := []limit.Demand{{Daemon: d.cfg.ID, Want: desk.wanted()}}
+	gate := d.targets.slotGate(t)
+	demands := []limit.Demand{{Daemon: d.cfg.ID, Want: gate.wanted()}}
 	for _, m := range live {
 		demands = append(demands, limit.Demand{Daemon: m.ID, Want: wantOf(m, t.ID)})
 	}
 	slots := limit.Pool{Target: t.ID, Total: t.Slots}
-	desk.setShare(now, slots.Share(d.cfg.ID, demands))
+	gate.setShare(now, slots.Share(d.cfg.ID, demands))
 	connections := limit.Pool{Target: t.ID, Total: t.Connections, Reserve: controlConnections * len(demands)}
 	d.targets.resize(t.Address, connections.Share(d.cfg.ID, demands))
 }
--- a/internal/process/entry/desk.go
+++ b/internal/process/entry/slot_gate.go
@@ -10,58 +10,58 @@
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
-// desk is where requests to one target wait for one of this daemon's slots.
-type desk struct {
+// slotGate is where requests to one target wait for one of this daemon's slots.
+type slotGate struct {
 	clk     *clock.Clock
 	gate    *admission.Gate
 	mu      sync.Mutex
 	limiter *limit.Limiter
 }
 
-func newDesk(now clock.Millis, t *group.Target, queue int, clk *clock.Clock) *desk {
+func newSlotGate(now clock.Millis, t *group.Target, queue int, clk *clock.Clock) *slotGate {
 	l := limit.NewLimiter(now, max(t.Slots, 1))
 	l.Jitter = func(d clock.Millis) clock.Millis { return d/2 + rand.N(d/2+1) }
-	d := &desk{clk: clk, gate: admission.NewGate(clk, 0, queue), limiter: l}
+	d := &slotGate{clk: clk, gate: admission.NewGate(clk, 0, queue), limiter: l}
 	d.adjust(now)
 	return d
 }
 
 // adjust opens the gate as wide as the limiter allows now.
-func (d *desk) adjust(now clock.Millis) {
+func (d *slotGate) adjust(now clock.Millis) {
 	d.mu.Lock()
 	n := d.limiter.Slots(now)
 	d.mu.Unlock()
 	d.gate.SetSlots(n)
 }
 
-func (d *desk) setShare(now clock.Millis, n int) {
+func (d *slotGate) setShare(now clock.Millis, n int) {
 	d.mu.Lock()
 	d.limiter.SetShare(now, n)
 	d.mu.Unlock()
 	d.adjust(now)
 }
 
-func (d *desk) refused(now clock.Millis) {
+func (d *slotGate) refused(now clock.Millis) {
 	d.mu.Lock()
 	d.limiter.Refused(now)
 	d.mu.Unlock()
 	d.adjust(now)
 }
 
-func (d *desk) served() {
+func (d *slotGate) served() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.limiter.Served()
 }
 
 // wanted is how many statements this daemon has for the target.
-func (d *desk) wanted() int {
+func (d *slotGate) wanted() int {
 	l := d.gate.Load()
 	return l.Busy + l.Waiting
 }
 
 // slots is how many statements this daemon may have at work at the target now.
-func (d *desk) slots() int {
+func (d *slotGate) slots() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.limiter.Slots(d.clk.Now())
--- a/internal/process/entry/status.go
+++ b/internal/process/entry/status.go
@@ -98,7 +98,7 @@
 		Leaving:     t.Leaving,
 		Received:    t.Status.Received,
 		Applied:     t.Status.Applied,
-		Share:       d.targets.desk(&t.Target).slots(),
+		Share:       d.targets.slotGate(&t.Target).slots(),
 		AnswerAge:   d.p.Clock.Now() - t.AskedAt,
 		Busy:        l.Busy,
 		Waiting:     l.Waiting,
--- a/internal/process/entry/targets.go
+++ b/internal/process/entry/targets.go
@@ -22,11 +22,11 @@
 
 // targets holds the connections and the gates of all targets that the daemon uses.
 type targets struct {
-	cfg   TargetConfig
-	clk   *clock.Clock
-	mu    sync.Mutex
-	pools map[poolKey]*target.Pool
-	desks map[group.TargetID]*desk
+	cfg       TargetConfig
+	clk       *clock.Clock
+	mu        sync.Mutex
+	pools     map[poolKey]*target.Pool
+	slotGates map[group.TargetID]*slotGate
 }
 
 // TargetConfig says how the daemon logs in to targets and how many connections it keeps.
@@ -41,10 +41,10 @@
 
 func newTargets(cfg *TargetConfig, clk *clock.Clock) *targets {
 	return &targets{
-		cfg:   *cfg,
-		clk:   clk,
-		pools: make(map[poolKey]*target.Pool),
-		desks: make(map[group.TargetID]*desk),
+		cfg:       *cfg,
+		clk:       clk,
+		pools:     make(map[poolKey]*target.Pool),
+		slotGates: make(map[group.TargetID]*slotGate),
 	}
 }
 
@@ -70,14 +70,14 @@
 	return target.Address{HostPort: t.Address, User: s.cfg.User, Password: s.cfg.Password, Database: database}
 }
 
-// desk returns the place where requests to t wait.
-func (s *targets) desk(t *group.Target) *desk {
+// slotGate returns the place where requests to t wait.
+func (s *targets) slotGate(t *group.Target) *slotGate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := s.desks[t.ID]
+	d := s.slotGates[t.ID]
 	if d == nil {
-		d = newDesk(s.clk.Now(), t, s.cfg.Queue, s.clk)
-		s.desks[t.ID] = d
+		d = newSlotGate(s.clk.Now(), t, s.cfg.Queue, s.clk)
+		s.slotGates[t.ID] = d
 	}
 	return d
 }
@@ -85,7 +85,7 @@
 // load is what this daemon has at work and waiting at a target.
 func (s *targets) load(id group.TargetID) admission.Load {
 	s.mu.Lock()
-	d := s.desks[id]
+	d := s.slotGates[id]
 	s.mu.Unlock()
 	if d == nil {
 		return admission.Load{}
--- a/internal/trial/book.go
+++ b/internal/trial/acks.go
@@ -16,16 +16,16 @@
 	at  clock.Millis
 }
 
-// book is what all sessions know to have been acknowledged, by quote.
-type book struct {
+// ackLog is what all sessions know to have been acknowledged, by quote.
+type ackLog struct {
 	mu     sync.Mutex
 	ids    []string
 	writes map[string][]posted
 }
 
-func newBook() *book { return &book{writes: make(map[string][]posted)} }
+func newAckLog() *ackLog { return &ackLog{writes: make(map[string][]posted)} }
 
-func (b *book) add(id string, tag Tag, at clock.Millis) {
+func (b *ackLog) add(id string, tag Tag, at clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.writes[id] == nil {
@@ -35,7 +35,7 @@
 }
 
 // pick returns a random quote, or false while there is none.
-func (b *book) pick(rnd *rand.Rand) (string, bool) {
+func (b *ackLog) pick(rnd *rand.Rand) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.ids) == 0 {
@@ -45,7 +45,7 @@
 }
 
 // before returns the writes of a quote that were acknowledged before at.
-func (b *book) before(id string, at clock.Millis) []Tag {
+func (b *ackLog) before(id string, at clock.Millis) []Tag {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []Tag
--- a/internal/trial/config.go
+++ b/internal/trial/config.go
@@ -67,7 +67,7 @@
 	// Driver lets a test break how sessions run statements.
 	Driver func(d *Driver)
 	// Started is called once all daemons serve, with their addresses.
-	Started func(s *Stage)
+	Started func(s *Environment)
 }
 
 const (
--- a/internal/trial/stage.go
+++ b/internal/trial/environment.go
@@ -57,21 +57,21 @@
 // dataCentres are the places of the demo's daemons and targets.
 var dataCentres = []group.DataCentre{"stgo-a", "stgo-b", "rancagua"}
 
-// Stage is the running stand-ins and daemons of a trial.
-type Stage struct {
-	cfg      Config
-	clk      *clock.Clock
-	Network  *targetstand.Network
-	Targets  []*targetstand.Target
-	Platform *platformstand.Server
-	Events   []*event.Log
-	actors   []*actor
-	work     sync.WaitGroup
-	stop     context.CancelFunc
+// Environment is the running stand-ins and daemons of a trial.
+type Environment struct {
+	cfg       Config
+	clk       *clock.Clock
+	Network   *targetstand.Network
+	Targets   []*targetstand.Target
+	Platform  *platformstand.Server
+	Events    []*event.Log
+	instances []*instance
+	work      sync.WaitGroup
+	stop      context.CancelFunc
 }
 
-// actor is one daemon on the stage.
-type actor struct {
+// instance is one daemon of the environment.
+type instance struct {
 	daemon  *entry.Daemon
 	address string
 	admin   string
@@ -80,10 +80,10 @@
 	callers *cuttable
 }
 
-// NewStage starts stand-ins and daemons; they end with ctx.
-func NewStage(ctx context.Context, cfg *Config, clk *clock.Clock, log *zap.Logger) (*Stage, error) {
+// NewEnvironment starts stand-ins and daemons; they end with ctx.
+func NewEnvironment(ctx context.Context, cfg *Config, clk *clock.Clock, log *zap.Logger) (*Environment, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := &Stage{cfg: cfg.withDefaults(), clk: clk, stop: cancel}
+	s := &Environment{cfg: cfg.withDefaults(), clk: clk, stop: cancel}
 	if err := s.build(ctx, log); err != nil {
 		s.Close()
 		return nil, err
@@ -92,35 +92,35 @@
 }
 
 // Close ends all daemons and stand-ins, and waits for them.
-func (s *Stage) Close() {
+func (s *Environment) Close() {
 	s.stop()
 	s.work.Wait()
 }
 
 // Addresses are where the daemons take callers.
-func (s *Stage) Addresses() []string {
-	out := make([]string, 0, len(s.actors))
-	for _, a := range s.actors {
+func (s *Environment) Addresses() []string {
+	out := make([]string, 0, len(s.instances))
+	for _, a := range s.instances {
 		out = append(out, a.address)
 	}
 	return out
 }
 
 // AdminAddresses are where the daemons answer operators.
-func (s *Stage) AdminAddresses() []string {
-	out := make([]string, 0, len(s.actors))
-	for _, a := range s.actors {
+func (s *Environment) AdminAddresses() []string {
+	out := make([]string, 0, len(s.instances))
+	for _, a := range s.instances {
 		out = append(out, a.admin)
 	}
 	return out
 }
 
 // Store returns a new link to the platform, as an operator's command has.
-func (s *Stage) Store() *platform.Store {
+func (s *Environment) Store() *platform.Store {
 	return platform.Dial(platform.Config{URL: s.Platform.URL(), Timeout: clock.Second}, s.clk)
 }
 
-func (s *Stage) build(ctx context.Context, log *zap.Logger) error {
+func (s *Environment) build(ctx context.Context, log *zap.Logger) error {
 	if err := s.startTargets(ctx); err != nil {
 		return err
 	}
@@ -130,7 +130,7 @@
 	return s.startDaemons(ctx, log)
 }
 
-func (s *Stage) startTargets(ctx context.Context) error {
+func (s *Environment) startTargets(ctx context.Context) error {
 	s.Network = targetstand.NewNetwork(s.clk)
 	for i := range members {
 		t, err := s.Network.Start(ctx, targetstand.Config{
@@ -153,7 +153,7 @@
 	return nil
 }
 
-func (s *Stage) startPlatform(ctx context.Context) error {
+func (s *Environment) startPlatform(ctx context.Context) error {
 	var err error
 	s.Platform, err = platformstand.Start(ctx, platformstand.Config{})
 	if err != nil {
@@ -187,7 +187,7 @@
 	return nil
 }
 
-func (s *Stage) startDaemons(ctx context.Context, log *zap.Logger) error {
+func (s *Environment) startDaemons(ctx context.Context, log *zap.Logger) error {
 	key := make([]byte, 32)
 	if _, err := rand.Read(key); err != nil {
 		return fmt.Errorf("draw token key: %w", err)
@@ -220,7 +220,7 @@
 	return nil
 }
 
-func (s *Stage) startDaemon(ctx context.Context, log *zap.Logger, i int, p *entry.Parts, seeds []string) {
+func (s *Environment) startDaemon(ctx context.Context, log *zap.Logger, i int, p *entry.Parts, seeds []string) {
 	id := group.DaemonID("entry-" + strconv.Itoa(i+1))
 	events := event.NewLog(string(id), 100_000, s.clk, nil)
 	s.Events = append(s.Events, events)
@@ -237,7 +237,7 @@
 	d := entry.New(&cfg, p)
 	abort, crash := context.WithCancel(context.WithoutCancel(ctx))
 	within, drain := context.WithCancel(ctx)
-	s.actors = append(s.actors, &actor{
+	s.instances = append(s.instances, &instance{
 		daemon: d, address: p.Callers.Addr().String(), admin: p.Admin.Addr().String(), crash: crash, drain: drain, callers: callers,
 	})
 	s.work.Go(func() {
--- a/internal/trial/fault.go
+++ b/internal/trial/fault.go
@@ -20,7 +20,7 @@
 }
 
 // inject brings the fault about after a third of the length and heals it after two thirds.
-func (s *Stage) inject(ctx context.Context, length clock.Millis) (outage, error) {
+func (s *Environment) inject(ctx context.Context, length clock.Millis) (outage, error) {
 	var o outage
 	if s.cfg.Fault == NoFault {
 		return o, nil
@@ -42,7 +42,7 @@
 }
 
 // begin brings the faults about and returns what heals them.
-func (s *Stage) begin() (func(context.Context) error, error) {
+func (s *Environment) begin() (func(context.Context) error, error) {
 	var heals []func(context.Context) error
 	for _, f := range append([]Fault{s.cfg.Fault}, s.cfg.Also...) {
 		h, err := s.bring(f)
@@ -62,7 +62,7 @@
 }
 
 // bring brings one fault about and returns what heals it.
-func (s *Stage) bring(f Fault) (func(context.Context) error, error) {
+func (s *Environment) bring(f Fault) (func(context.Context) error, error) {
 	primary := s.primary()
 	switch f {
 	case PrimaryCrash:
@@ -81,7 +81,7 @@
 		s.Platform.Down(true)
 		return healed(func() { s.Platform.Down(false) }), nil
 	case DaemonCrash:
-		s.actors[0].kill()
+		s.instances[0].kill()
 		return healed(func() {}), nil
 	}
 	return nil, fmt.Errorf("unknown fault %q", f)
@@ -94,7 +94,7 @@
 	}
 }
 
-func (s *Stage) lagReplicas(lag clock.Millis) {
+func (s *Environment) lagReplicas(lag clock.Millis) {
 	for _, t := range s.Targets {
 		if !t.Status().Primary {
 			t.SetLag(lag)
@@ -103,7 +103,7 @@
 }
 
 // primary is the target that takes writes at the highest term.
-func (s *Stage) primary() *targetstand.Target {
+func (s *Environment) primary() *targetstand.Target {
 	best := s.Targets[0]
 	for _, t := range s.Targets {
 		if st := t.Status(); st.Primary && st.Received.Term >= best.Status().Received.Term {
@@ -133,7 +133,7 @@
 }
 
 // kill ends a daemon without a word to anyone.
-func (a *actor) kill() {
+func (a *instance) kill() {
 	_ = a.callers.Close()
 	a.callers.mu.Lock()
 	for _, c := range a.callers.conns {
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -14,7 +14,7 @@
 	addresses []string
 	driver    *Driver
 	history   *History
-	book      *book
+	acks      *ackLog
 	think     clock.Millis
 }
 
@@ -22,7 +22,7 @@
 func (l *load) run(ctx context.Context, n int, seed uint64) {
 	var wg sync.WaitGroup
 	for i := range n {
-		r := &roamer{
+		r := &session{
 			n:       i,
 			load:    l,
 			rnd:     rand.New(rand.NewPCG(seed, uint64(i))),
--- a/internal/trial/operation_test.go
+++ b/internal/trial/operation_test.go
@@ -17,11 +17,11 @@
 // patience bounds waits of tests that fail.
 const patience = 20 * time.Second
 
-func newTestStage(t *testing.T, cfg *Config) (*Stage, context.Context) {
+func newTestEnvironment(t *testing.T, cfg *Config) (*Environment, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*patience)
 	t.Cleanup(cancel)
-	s, err := NewStage(ctx, cfg, clock.System(), zap.NewNop())
+	s, err := NewEnvironment(ctx, cfg, clock.System(), zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -54,7 +54,7 @@
 const lookup = `SELECT id, lot, price, 'n' FROM quotes /*request='bulletin.lookup'*/`
 
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
-	s, ctx := newTestStage(t, &Config{})
+	s, ctx := newTestEnvironment(t, &Config{})
 	var vms []platform.VM
 	leaving := s.Targets[1]
 	for _, target := range s.Targets {
@@ -62,7 +62,7 @@
 	}
 	s.Platform.SetVMs(vms)
 	marked := func() bool {
-		for _, a := range s.actors {
+		for _, a := range s.instances {
 			for _, g := range a.daemon.Status().Groups {
 				if !g.Targets[1].Leaving {
 					return false
@@ -87,8 +87,8 @@
 }
 
 func TestGracefulStopCutsNothing(t *testing.T) {
-	s, ctx := newTestStage(t, &Config{StatementTime: 100})
-	stopping := s.actors[0]
+	s, ctx := newTestEnvironment(t, &Config{StatementTime: 100})
+	stopping := s.instances[0]
 	c := newTestCaller(ctx, t, stopping.address)
 	answered := make(chan Answer, 1)
 	go func() {
@@ -105,7 +105,7 @@
 	if stopping.daemon.Ready() {
 		t.Error("got a health check that passes, want it to fail while draining")
 	}
-	gone := func() bool { return len(s.actors[1].daemon.Status().Peers) == s.cfg.Daemons-2 }
+	gone := func() bool { return len(s.instances[1].daemon.Status().Peers) == s.cfg.Daemons-2 }
 	if err := s.await(ctx, "the peers to know", gone); err != nil {
 		t.Fatal(err)
 	}
@@ -115,10 +115,10 @@
 }
 
 func TestIdleDaemonSaysGoodbye(t *testing.T) {
-	s, ctx := newTestStage(t, &Config{})
-	s.actors[2].drain()
+	s, ctx := newTestEnvironment(t, &Config{})
+	s.instances[2].drain()
 	left := func() bool {
-		for _, a := range s.actors[:2] {
+		for _, a := range s.instances[:2] {
 			if len(a.daemon.Status().Peers) != 1 {
 				return false
 			}
@@ -137,7 +137,7 @@
 }
 
 func TestWriteIsReadThroughAnyDaemonByAPlainCaller(t *testing.T) {
-	s, ctx := newTestStage(t, &Config{Lag: 150})
+	s, ctx := newTestEnvironment(t, &Config{Lag: 150})
 	for i, address := range s.Addresses() {
 		c := newTestCaller(ctx, t, address)
 		mustRun(ctx, t, c, `INSERT INTO quotes VALUES('q`+string(rune('0'+i))+`', 'a', 1) /*request='quote.create'*/`)
@@ -151,7 +151,7 @@
 }
 
 func TestFirstReadBringsATokenThatWorksElsewhere(t *testing.T) {
-	s, ctx := newTestStage(t, &Config{Lag: 50})
+	s, ctx := newTestEnvironment(t, &Config{Lag: 50})
 	c := newTestCaller(ctx, t, s.Addresses()[0])
 	mustRun(ctx, t, c, lookup)
 	token := c.ParameterStatus(tokenParameter)
@@ -170,7 +170,7 @@
 }
 
 func TestStampsOfDaemonsFollowEachOther(t *testing.T) {
-	s, ctx := newTestStage(t, &Config{})
+	s, ctx := newTestEnvironment(t, &Config{})
 	ahead := event.Stamp{Millis: s.clk.Wall() + 30*clock.Second, Daemon: "entry-9"}
 	s.Events[0].Observe(ahead)
 	pulled := func() bool { return ahead.Before(s.Events[1].Now()) && ahead.Before(s.Events[2].Now()) }
--- a/internal/trial/parts.go
+++ b/internal/trial/parts.go
@@ -17,7 +17,7 @@
 }
 
 // parts finds the first event of each step after the fault over all daemons.
-func (s *Stage) parts(fault clock.Millis) *Parts {
+func (s *Environment) parts(fault clock.Millis) *Parts {
 	wall := s.clk.Wall() - s.clk.Now() + fault
 	p := &Parts{}
 	steps := map[event.Kind]*clock.Millis{
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -19,9 +19,9 @@
 	settlePoll clock.Millis = 20
 )
 
-// Run stages a trial and returns its figures.
+// Run sets a trial up and returns its figures.
 func Run(ctx context.Context, cfg *Config, clk *clock.Clock, log *zap.Logger) (*Report, error) {
-	s, err := NewStage(ctx, cfg, clk, log)
+	s, err := NewEnvironment(ctx, cfg, clk, log)
 	if err != nil {
 		return nil, err
 	}
@@ -39,9 +39,9 @@
 	return s.measure(ctx)
 }
 
-func (s *Stage) measure(ctx context.Context) (*Report, error) {
+func (s *Environment) measure(ctx context.Context) (*Report, error) {
 	h := &History{}
-	l := &load{clk: s.clk, addresses: s.Addresses(), driver: NewDriver(), history: h, book: newBook(), think: s.cfg.ThinkTime}
+	l := &load{clk: s.clk, addresses: s.Addresses(), driver: NewDriver(), history: h, acks: newAckLog(), think: s.cfg.ThinkTime}
 	if s.cfg.Driver != nil {
 		s.cfg.Driver(l.driver)
 	}
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, a := range s.actors {
+	for _, a := range s.instances {
 		a.daemon.Flush()
 	}
 	r := &Report{Fault: s.cfg.Fault, Policy: s.cfg.Policy, Seed: s.cfg.Seed, Seconds: s.cfg.Length.Duration().Seconds()}
@@ -72,7 +72,7 @@
 }
 
 // play runs the load with the fault in the middle, and returns when that was.
-func (s *Stage) play(ctx context.Context, l *load) (outage, error) {
+func (s *Environment) play(ctx context.Context, l *load) (outage, error) {
 	within, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
@@ -92,9 +92,9 @@
 }
 
 // awaitReady waits until every daemon serves.
-func (s *Stage) awaitReady(ctx context.Context) error {
+func (s *Environment) awaitReady(ctx context.Context) error {
 	return s.await(ctx, "daemons to serve", func() bool {
-		for _, a := range s.actors {
+		for _, a := range s.instances {
 			if !a.daemon.Serves(GroupID) {
 				return false
 			}
@@ -103,7 +103,7 @@
 	})
 }
 
-func (s *Stage) await(ctx context.Context, what string, ok func() bool) error {
+func (s *Environment) await(ctx context.Context, what string, ok func() bool) error {
 	limit := s.clk.Now() + settleLimit
 	for !ok() {
 		if s.clk.Now() > limit {
@@ -117,7 +117,7 @@
 }
 
 // final reads the rows of the leading primary once a majority holds its log.
-func (s *Stage) final(ctx context.Context) ([]Row, error) {
+func (s *Environment) final(ctx context.Context) ([]Row, error) {
 	if err := s.await(ctx, "a primary with a majority", s.settled); err != nil {
 		return nil, fmt.Errorf("%w: %s", err, s.describe())
 	}
@@ -136,7 +136,7 @@
 }
 
 // describe tells what each target says of itself, for errors.
-func (s *Stage) describe() string {
+func (s *Environment) describe() string {
 	var b strings.Builder
 	for _, t := range s.Targets {
 		fmt.Fprintf(&b, "%s %+v; ", t.ID(), t.Status())
@@ -144,7 +144,7 @@
 	return b.String()
 }
 
-func (s *Stage) settled() bool {
+func (s *Environment) settled() bool {
 	p := s.primary()
 	top := p.Status().Received
 	n := 0
--- a/internal/trial/session.go
+++ b/internal/trial/session.go
@@ -32,8 +32,8 @@
 	revision int
 }
 
-// roamer is one session that moves from daemon to daemon.
-type roamer struct {
+// session is one session that moves from daemon to daemon.
+type session struct {
 	n       int
 	load    *load
 	rnd     *rand.Rand
@@ -48,7 +48,7 @@
 }
 
 // work runs requests until ctx ends.
-func (r *roamer) work(ctx context.Context) {
+func (r *session) work(ctx context.Context) {
 	defer r.leave(ctx)
 	for ctx.Err() == nil {
 		if r.ready(ctx) {
@@ -62,7 +62,7 @@
 }
 
 // ready moves the session on when its stay is over, and connects it.
-func (r *roamer) ready(ctx context.Context) bool {
+func (r *session) ready(ctx context.Context) bool {
 	if r.conn != nil && (r.conn.IsClosed() || r.stay <= 0) {
 		r.leave(ctx)
 	}
@@ -82,7 +82,7 @@
 	return true
 }
 
-func (r *roamer) leave(ctx context.Context) {
+func (r *session) leave(ctx context.Context) {
 	if r.conn == nil {
 		return
 	}
@@ -92,7 +92,7 @@
 	r.conn = nil
 }
 
-func (r *roamer) request(ctx context.Context) {
+func (r *session) request(ctx context.Context) {
 	if r.reader {
 		r.browse(ctx)
 		return
@@ -108,14 +108,14 @@
 	}
 }
 
-func (r *roamer) last() *quote {
+func (r *session) last() *quote {
 	if len(r.quotes) == 0 {
 		return nil
 	}
 	return r.quotes[len(r.quotes)-1]
 }
 
-func (r *roamer) create(ctx context.Context) {
+func (r *session) create(ctx context.Context) {
 	q := &quote{n: len(r.quotes)}
 	r.quotes = append(r.quotes, q)
 	id := quoteID(r.n, q.n)
@@ -124,7 +124,7 @@
 	q.created = r.write(ctx, q, Create, tag, sql) == Acknowledged
 }
 
-func (r *roamer) revise(ctx context.Context, q *quote) {
+func (r *session) revise(ctx context.Context, q *quote) {
 	q.revision++
 	id := quoteID(r.n, q.n)
 	tag := Tag(id + "r" + strconv.Itoa(q.revision))
@@ -132,7 +132,7 @@
 	r.write(ctx, q, Revise, tag, sql)
 }
 
-func (r *roamer) write(ctx context.Context, q *quote, k WriteKind, tag Tag, sql string) Fate {
+func (r *session) write(ctx context.Context, q *quote, k WriteKind, tag Tag, sql string) Fate {
 	e := WriteEntry{Session: r.n, Quote: q.n, Tag: tag, Kind: k, Began: r.load.clk.Now()}
 	a := r.run(ctx, sql)
 	e.Fate = a.Fate
@@ -141,24 +141,24 @@
 	r.load.history.addWrite(&e)
 	if e.Fate == Acknowledged {
 		q.acked = append(q.acked, tag)
-		r.load.book.add(quoteID(r.n, q.n)+"-0", tag, e.Finished)
+		r.load.acks.add(quoteID(r.n, q.n)+"-0", tag, e.Finished)
 	}
 	return e.Fate
 }
 
 // read asks for one of the session's quotes and compares the answer with what was acknowledged.
-func (r *roamer) read(ctx context.Context, q *quote) {
+func (r *session) read(ctx context.Context, q *quote) {
 	r.look(ctx, quoteID(r.n, q.n)+"-0", q.acked)
 }
 
 // browse asks for a quote of any session.
-func (r *roamer) browse(ctx context.Context) {
-	if id, ok := r.load.book.pick(r.rnd); ok {
+func (r *session) browse(ctx context.Context) {
+	if id, ok := r.load.acks.pick(r.rnd); ok {
 		r.look(ctx, id, nil)
 	}
 }
 
-func (r *roamer) look(ctx context.Context, id string, own []Tag) {
+func (r *session) look(ctx context.Context, id string, own []Tag) {
 	r.nonce++
 	nonce := "n" + strconv.Itoa(r.n) + "-" + strconv.Itoa(r.nonce)
 	e := ReadEntry{Aged: r.rnd.IntN(2) == 0, Began: r.load.clk.Now()}
@@ -166,7 +166,7 @@
 	if e.Aged {
 		request, since = "bulletin.lookup", e.Began-statedAge
 	}
-	due := r.load.book.before(id, since)
+	due := r.load.acks.before(id, since)
 	sql := fmt.Sprintf(`SELECT id, lot, price, '%s' FROM quotes WHERE id = '%s' /*request='%s'*/`, nonce, id, request)
 	a := r.run(ctx, sql)
 	e.Fate = a.Fate
@@ -178,7 +178,7 @@
 	r.load.history.addRead(&e)
 }
 
-func (r *roamer) run(ctx context.Context, sql string) Answer {
+func (r *session) run(ctx context.Context, sql string) Answer {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestLimit)
 	defer cancel()
 	a := r.load.driver.Run(ctx, r.conn, Statement{SQL: sql, Simple: !r.carries})
--- a/internal/trial/write_test.go
+++ b/internal/trial/write_test.go
@@ -24,7 +24,7 @@
 		b.Run(tt.name, func(b *testing.B) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			s, err := NewStage(ctx, &Config{Alter: tt.alter}, clock.System(), zap.NewNop())
+			s, err := NewEnvironment(ctx, &Config{Alter: tt.alter}, clock.System(), zap.NewNop())
 			if err != nil {
 				b.Fatal(err)
 			}
