trial: cut a data centre off from the others and from the platform

Cause: on the whole path a primary was cut off from its replicas only; that a primary and a daemon, both sure that it leads, are cut off together was shown in the model alone. Change: a partition holds back what crosses it between daemons, targets and platform, as a lost network does, and hands it over when it heals; faults primary-side-cut and replica-side-cut; targets are dialled through a seam.

--- a/internal/connection/target/conn.go
+++ b/internal/connection/target/conn.go
@@ -22,6 +22,17 @@
 	Password string
 	// TLS encrypts the connection; nil means plain TCP.
 	TLS *tls.Config
+	// Dial opens the connection to HostPort; nil means over TCP.
+	Dial func(ctx context.Context, hostPort string) (net.Conn, error)
+}
+
+// connect opens a connection without logging in.
+func (a Address) connect(ctx context.Context) (net.Conn, error) {
+	if a.Dial != nil {
+		return a.Dial(ctx, a.HostPort)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", a.HostPort)
 }
 
 // maxAnswer is the longest message taken from a target, in bytes.
@@ -49,8 +60,7 @@
 
 // Dial opens a connection and logs in; it ends with ctx.
 func Dial(ctx context.Context, a Address) (*Conn, error) {
-	var d net.Dialer
-	wire, err := d.DialContext(ctx, "tcp", a.HostPort)
+	wire, err := a.connect(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("dial target: %w", err)
 	}
@@ -190,8 +200,7 @@
 // Cancel asks the target, on a connection of its own, to end what this connection runs.
 func (c *Conn) Cancel(ctx context.Context) error {
 	other := &Conn{address: c.address}
-	var d net.Dialer
-	wire, err := d.DialContext(ctx, "tcp", c.address.HostPort)
+	wire, err := c.address.connect(ctx)
 	if err != nil {
 		return fmt.Errorf("dial to cancel: %w", err)
 	}
--- a/internal/process/entry/daemon.go
+++ b/internal/process/entry/daemon.go
@@ -70,6 +70,8 @@
 	Peers   net.Listener
 	Admin   net.Listener
 	Access  Access
+	// PeerTransport carries the calls to peers; nil means the mesh's own.
+	PeerTransport func(next http.RoundTripper) http.RoundTripper
 }
 
 // Daemon is one running process of the proxy.
@@ -103,13 +105,21 @@
 		DataCentre:   cfg.DataCentre,
 		Period:       cfg.Period,
 		TLS:          p.Access.PeerTLS,
-		Wrap:         func(next http.RoundTripper) http.RoundTripper { return &stampTransport{d: d, next: next} },
+		Wrap:         d.wrapCalls,
 	}, p.Clock, d.peerSeams())
 	d.router = &router{clk: p.Clock, loop: d.loop, targets: d.targets, policy: cfg.Policy, place: cfg.DataCentre, meter: d.meter, replicaWait: cfg.ReplicaWait, retries: newRetries(p.Clock)}
 	d.server = caller.New(cfg.Callers, d.callerSeams())
 	return d
 }
 
+// wrapCalls adds to the calls to peers what this daemon sends with all of them.
+func (d *Daemon) wrapCalls(next http.RoundTripper) http.RoundTripper {
+	if d.p.PeerTransport != nil {
+		next = d.p.PeerTransport(next)
+	}
+	return &stampTransport{d: d, next: next}
+}
+
 func newRetries(clk *clock.Clock) *retry.Policy {
 	return &retry.Policy{Budget: retry.NewBudget(clk.Now()), BackOff: retry.NewBackOff()}
 }
--- a/internal/process/entry/targets.go
+++ b/internal/process/entry/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 
 	"github.com/cactusfork/cactusfork/internal/connection/target"
@@ -37,6 +38,8 @@
 	DialTimeout clock.Millis
 	IdleTimeout clock.Millis
 	Queue       int
+	// Dial opens connections to targets; nil means over TCP.
+	Dial func(ctx context.Context, hostPort string) (net.Conn, error)
 }
 
 func newTargets(cfg *TargetConfig, clk *clock.Clock) *targets {
@@ -67,7 +70,7 @@
 }
 
 func (s *targets) address(t *group.Target, database string) target.Address {
-	return target.Address{HostPort: t.Address, User: s.cfg.User, Password: s.cfg.Password, Database: database}
+	return target.Address{HostPort: t.Address, User: s.cfg.User, Password: s.cfg.Password, Database: database, Dial: s.cfg.Dial}
 }
 
 // slotGate returns the place where requests to t wait.
--- a/internal/trial/config.go
+++ b/internal/trial/config.go
@@ -20,11 +20,15 @@
 	ReplicasLag  Fault = "replicas-lag"
 	PlatformDown Fault = "platform-down"
 	DaemonCrash  Fault = "daemon-crash"
+	// PrimarySideCut cuts the primary's data centre, with its daemon, off from the others and from the platform.
+	PrimarySideCut Fault = "primary-side-cut"
+	// ReplicaSideCut does the same to a replica's data centre.
+	ReplicaSideCut Fault = "replica-side-cut"
 )
 
 // Faults lists all faults.
 func Faults() []Fault {
-	return []Fault{NoFault, PrimaryCrash, PrimaryCut, PrimaryPause, ReplicasLag, PlatformDown, DaemonCrash}
+	return []Fault{NoFault, PrimaryCrash, PrimaryCut, PrimaryPause, ReplicasLag, PlatformDown, DaemonCrash, PrimarySideCut, ReplicaSideCut}
 }
 
 // ParseFault checks the name of a fault.
--- a/internal/trial/environment.go
+++ b/internal/trial/environment.go
@@ -65,6 +65,7 @@
 	Targets   []*targetstand.Target
 	Platform  *platformstand.Server
 	Events    []*event.Log
+	partition *partition
 	instances []*instance
 	work      sync.WaitGroup
 	stop      context.CancelFunc
@@ -83,7 +84,7 @@
 // NewEnvironment starts stand-ins and daemons; they end with ctx.
 func NewEnvironment(ctx context.Context, cfg *Config, clk *clock.Clock, log *zap.Logger) (*Environment, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := &Environment{cfg: cfg.withDefaults(), clk: clk, stop: cancel}
+	s := &Environment{cfg: cfg.withDefaults(), clk: clk, stop: cancel, partition: newPartition()}
 	if err := s.build(ctx, log); err != nil {
 		s.Close()
 		return nil, err
@@ -146,6 +147,7 @@
 			return fmt.Errorf("start target: %w", err)
 		}
 		s.Targets = append(s.Targets, t)
+		s.partition.place(t.Address(), dataCentres[i])
 	}
 	if err := s.Network.Bootstrap(ctx, s.Targets[0].ID(), 1, Schema); err != nil {
 		return fmt.Errorf("bootstrap group: %w", err)
@@ -212,6 +214,9 @@
 	for _, l := range peers {
 		seeds = append(seeds, l.Addr().String())
 	}
+	for i, l := range peers {
+		s.partition.place(l.Addr().String(), dataCentres[i%len(dataCentres)])
+	}
 	for i := range s.cfg.Daemons {
 		s.startDaemon(ctx, log, i, &entry.Parts{
 			Tokens: keys, Callers: callers[i], Peers: peers[i], Admin: admins[i],
@@ -232,6 +237,9 @@
 	cfg := entry.Defaults(id, dataCentres[i%len(dataCentres)])
 	cfg.Seeds = seeds
 	cfg.Policy = s.cfg.Policy
+	cfg.Targets.Dial = s.partition.dialer(cfg.DataCentre)
+	p.PeerTransport = s.partition.transport(cfg.DataCentre)
+	p.Store = s.partition.store(cfg.DataCentre, p.Store)
 	callers := &cuttable{Listener: p.Callers}
 	p.Callers = callers
 	d := entry.New(&cfg, p)
--- a/internal/trial/fault.go
+++ b/internal/trial/fault.go
@@ -80,6 +80,10 @@
 	case PlatformDown:
 		s.Platform.Down(true)
 		return healed(func() { s.Platform.Down(false) }), nil
+	case PrimarySideCut:
+		return s.isolate(primary), nil
+	case ReplicaSideCut:
+		return s.isolate(s.replica()), nil
 	case DaemonCrash:
 		s.instances[0].kill()
 		return healed(func() {}), nil
@@ -87,6 +91,26 @@
 	return nil, fmt.Errorf("unknown fault %q", f)
 }
 
+// isolate cuts a target's data centre off and returns what heals that.
+func (s *Environment) isolate(t *targetstand.Target) func(context.Context) error {
+	s.partition.isolate(t.DataCentre())
+	s.Network.CutOff(t.ID())
+	return healed(func() {
+		s.Network.Heal()
+		s.partition.isolate("")
+	})
+}
+
+// replica is a target that is not primary.
+func (s *Environment) replica() *targetstand.Target {
+	for _, t := range s.Targets {
+		if !t.Status().Primary {
+			return t
+		}
+	}
+	return s.Targets[0]
+}
+
 func healed(f func()) func(context.Context) error {
 	return func(context.Context) error {
 		f()
--- a/internal/trial/report.go
+++ b/internal/trial/report.go
@@ -49,7 +49,7 @@
 
 // primaryFails tells the faults after which a failover gap is measured.
 func (f Fault) primaryFails() bool {
-	return f == PrimaryCrash || f == PrimaryCut || f == PrimaryPause
+	return f == PrimaryCrash || f == PrimaryCut || f == PrimaryPause || f == PrimarySideCut
 }
 
 // gap is the time from the fault to the first acknowledgement of a write that began once the fault was complete; nil when there was none.
