group: let a cause last once a majority can be fenced again

Ruled out: a fence sent during the cut (it lacks the majority and is not sent). Change: a cause that finds no majority to fence starts its wait anew, SuspectAfter long, once there is one. Test: the row 'a replica's data centre cut off and back' fails before, passes after.

--- a/internal/version/group/fault_test.go
+++ b/internal/version/group/fault_test.go
@@ -53,6 +53,17 @@
 			s.resume(d)
 		}
 	}},
+	{name: "a replica's data centre cut off and back, again and again", want: "t0", fault: func(s *sim) {
+		for n := range 20 {
+			for _, other := range []string{"d1", "d2", "t0", "t2"} {
+				s.sever("d0", other)
+				s.sever("t1", other)
+			}
+			s.run(1200 + clock.Millis(37*n))
+			clear(s.cut)
+			s.run(1000)
+		}
+	}},
 	{name: "primary cut from one daemon only", want: "t0", fault: func(s *sim) { s.sever("d0", "t0") }},
 	{name: "primary cut from all", want: "*", within: 2 * clock.Second, fault: func(s *sim) { s.isolate("t0") }},
 	{name: "primary cut from daemons, not from replicas", want: "*", within: 2 * clock.Second, fault: func(s *sim) {
--- a/internal/version/group/trigger.go
+++ b/internal/version/group/trigger.go
@@ -37,10 +37,15 @@
 		m.trigger.due = m.now + m.patience(c)
 	}
 	m.trigger.cause, m.trigger.promise, m.trigger.recorded = c, p, m.rec.Term
-	if c == causeNone || m.now < m.trigger.due || m.now < m.trigger.nextTry {
+	if c == causeNone {
 		return
 	}
-	if m.fenceable(c) {
+	if !m.fenceable(c) {
+		// Who is cut off hears from the targets one by one when the way is open again; the primary may be the last.
+		m.trigger.due = max(m.trigger.due, m.now+m.s.SuspectAfter)
+		return
+	}
+	if m.now >= m.trigger.due && m.now >= m.trigger.nextTry {
 		m.startChange(c)
 	}
 }
