--- a/pkg/event/draw.go
+++ b/pkg/event/draw.go
@@ -13,7 +13,7 @@
 // The sizes of a drawing, in pixels.
 const (
 	drawLeft   = 130
-	drawRight = 260
+	drawRight  = 260
 	drawTop    = 60
 	laneHeight = 150
 	labelStep  = 14
