serve: take a password for targets, and leases the term of their primary

Cause: targets that ask for a password could not be used; and while the record lags behind a change, a lease carried the record's term instead of its primary's, so that a write which a majority held was reported as unknown (found by reading). Change: password-file in [targets]; the lease takes the term that the route found.

--- a/internal/command/keys.go
+++ b/internal/command/keys.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/cactusfork/cactusfork/pkg/token"
 )
@@ -11,6 +12,22 @@
 // keySize is the length of a token key drawn at start, in bytes.
 const keySize = 32
 
+// readPassword reads the password for targets, the file's only line; without a file there is none.
+func readPassword(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", fmt.Errorf("read password of targets: %w", err)
+	}
+	password := strings.TrimRight(string(text), "\r\n")
+	if password == "" || strings.ContainsAny(password, "\r\n") {
+		return "", fmt.Errorf("password file %s: want one line", file)
+	}
+	return password, nil
+}
+
 // loadTokenKeys reads the present and the previous key; without a file it draws one, which no other daemon knows.
 func loadTokenKeys(current, previous string) (*token.Keys, error) {
 	if current == "" {
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -58,6 +58,9 @@
 	defer done()
 	parts.Access = *acc
 	cfg := entry.FromSettings(set)
+	if cfg.Targets.Password, err = readPassword(set.Targets.Password); err != nil {
+		return &badInput{err: err}
+	}
 	log.Info("serving", zap.String("caller-address", set.Daemon.CallerAddress))
 	if err := entry.New(&cfg, parts).Run(ctx, context.WithoutCancel(ctx)); err != nil && !errors.Is(err, context.Canceled) {
 		return err
--- a/internal/process/entry/acquisition.go
+++ b/internal/process/entry/acquisition.go
@@ -88,8 +88,9 @@
 		release()
 		return nil, nil
 	}
+	_, term, _ := route.PrimaryOf(v)
 	return a.r.lease(context.WithoutCancel(ctx), &grant{
-		svc: a.svc, term: v.Record.Term, scope: scope, target: &t, choice: choice, conn: conn, leave: release,
+		svc: a.svc, term: term, scope: scope, target: &t, choice: choice, conn: conn, leave: release,
 	}), nil
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -43,6 +43,7 @@
 // Targets says how the daemon reaches database servers.
 type Targets struct {
 	User        string       `ini:"user" default:"cactusfork"`
+	Password    string       `ini:"password-file" kind:"file"`
 	Warm        int          `ini:"warm-connections" default:"1" min:"0" max:"100"`
 	DialTimeout clock.Millis `ini:"dial-timeout" default:"1s" min:"10ms" max:"1m"`
 	ReplicaWait clock.Millis `ini:"replica-wait" default:"50ms" min:"0s" max:"10s"`
