entry: split the daemon's file by job

Change: the seams to other parts, the listeners and the checks of objects stand in files of their own. No behaviour changes; tests green.

--- a/internal/process/entry/admin.go
+++ b/internal/process/entry/admin.go
@@ -1,9 +1,14 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
+	"net"
 	"net/http"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // headerTimeout bounds how long a request over HTTP may take to name itself.
@@ -48,3 +53,18 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, h http.Handler, tlsCfg tlsConfig) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, TLSConfig: tlsCfg, ErrorLog: zap.NewStdLog(d.p.Log)}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	var err error
+	if tlsCfg != nil {
+		err = s.ServeTLS(l, "", "")
+	} else {
+		err = s.Serve(l)
+	}
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.p.Log.Error("serve http", zap.Error(err))
+	}
+}
--- a/internal/process/entry/daemon.go
+++ b/internal/process/entry/daemon.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -23,7 +20,6 @@
 	"github.com/cactusfork/cactusfork/internal/request/retry"
 	"github.com/cactusfork/cactusfork/internal/request/route"
 	"github.com/cactusfork/cactusfork/internal/version/group"
-	"github.com/cactusfork/cactusfork/internal/version/service"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/pkg/event"
 	"github.com/cactusfork/cactusfork/pkg/token"
@@ -198,131 +194,3 @@
 		d.p.Log.Error("time line", zap.Error(err))
 	}
 }
-
-func (d *Daemon) controlConfig() *control.Config {
-	return &control.Config{
-		Self:     d.cfg.ID,
-		Machine:  d.cfg.Machine,
-		Probe:    d.cfg.Probe,
-		OrderFor: d.cfg.Probe.Timeout * 2,
-		StoreFor: d.cfg.StoreFor,
-		PeersFor: d.cfg.Probe.Timeout,
-	}
-}
-
-func (d *Daemon) controlSeams() control.Seams {
-	return control.Seams{
-		Dial:     d.targets.dial,
-		Order:    d.targets.order,
-		AskViews: d.askViews,
-		Store:    d.p.Store,
-		Random:   rand.Float64,
-		Load:     d.targets.load,
-		Report:   d.event,
-	}
-}
-
-func (d *Daemon) askViews(ctx context.Context, id group.ID, t group.TargetID) []control.View {
-	var out []control.View
-	for _, v := range d.mesh.AskView(ctx, id, t, viewsAsked) {
-		out = append(out, control.View{Daemon: v.Daemon, Reachable: reaches[v.Reach]})
-	}
-	return out
-}
-
-// reaches turns a peer's answer into the machine's.
-var reaches = map[peer.Reach]group.ViewAnswer{
-	peer.Unknown:     group.Unknown,
-	peer.Reachable:   group.Reachable,
-	peer.Unreachable: group.Unreachable,
-}
-
-func (d *Daemon) holderConfig() config.Config {
-	cfg := config.Defaults(d.cfg.ID, d.cfg.DataCentre)
-	if d.cfg.Watchers > 0 {
-		cfg.Watchers = d.cfg.Watchers
-	}
-	return cfg
-}
-
-func (d *Daemon) holderSeams() config.Seams {
-	return config.Seams{
-		Store:          d.p.Store,
-		Live:           func() []peer.Member { return d.mesh.Live() },
-		FetchFromPeers: func(ctx context.Context) ([]platform.Object, error) { return d.mesh.FetchObjects(ctx) },
-		Jitter:         rand.Float64,
-		Validate:       validate,
-		Report: func(key platform.Key, v platform.Version, err error) {
-			d.p.Log.Warn("object kept out", zap.String("key", string(key)), zap.Uint64("version", uint64(v)), zap.Error(err))
-		},
-		Spread: func(ctx context.Context) { _ = d.mesh.Nudge(ctx) },
-	}
-}
-
-func (d *Daemon) peerSeams() peer.Seams {
-	return peer.Seams{
-		Seeds:   d.seeds,
-		View:    d.viewFor,
-		Objects: func(held []peer.KeyVersion) []platform.Object { return d.holder.Newer(held) },
-		Digest:  func() peer.Digest { return d.holder.Digest() },
-		Demand:  d.demand,
-		Learnt:  func(objects []platform.Object) { d.holder.Apply(objects) },
-		Changed: d.membersChanged,
-	}
-}
-
-func (d *Daemon) callerSeams() caller.Seams {
-	s := caller.Seams{
-		Service:     d.router.service,
-		Allowed:     d.p.Access.Allowed,
-		Credentials: d.p.Access.Credentials,
-		TLS:         d.p.Access.CallerTLS,
-		RequireTLS:  d.p.Access.RequireTLS,
-		Tokens:      func() *token.Keys { return d.p.Tokens },
-		Acquire:     d.router.acquire,
-		Floor:       d.router.floor,
-		Confirm:     d.router.confirm,
-		Report:      d.meter.take,
-	}
-	if d.p.Access.Alter != nil {
-		d.p.Access.Alter(&s)
-	}
-	return s
-}
-
-// validate refuses an object that this daemon could not put into force.
-func validate(o platform.Object) error {
-	if name, ok := cut(o.Key, config.Services); ok {
-		s, err := service.Decode(o.Value)
-		if err != nil {
-			return fmt.Errorf("decode service: %w", err)
-		}
-		if string(s.Name) != name {
-			return fmt.Errorf("service %s under the key of %s", s.Name, name)
-		}
-		return nil
-	}
-	var rec group.Record
-	if err := json.Unmarshal(o.Value, &rec); err != nil {
-		return fmt.Errorf("decode group: %w", err)
-	}
-	if n := len(rec.Targets); n == 0 || n > mostTargets {
-		return fmt.Errorf("group of %d targets, want 1 to %d", n, mostTargets)
-	}
-	return nil
-}
-
-func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, h http.Handler, tlsCfg tlsConfig) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, TLSConfig: tlsCfg, ErrorLog: zap.NewStdLog(d.p.Log)}
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	defer stop()
-	var err error
-	if tlsCfg != nil {
-		err = s.ServeTLS(l, "", "")
-	} else {
-		err = s.Serve(l)
-	}
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		d.p.Log.Error("serve http", zap.Error(err))
-	}
-}
--- a/internal/process/entry/published.go
+++ b/internal/process/entry/published.go
@@ -131,3 +131,25 @@
 func cut(key, prefix platform.Key) (string, bool) {
 	return strings.CutPrefix(string(key), string(prefix))
 }
+
+// validate refuses an object that this daemon could not put into force.
+func validate(o platform.Object) error {
+	if name, ok := cut(o.Key, config.Services); ok {
+		s, err := service.Decode(o.Value)
+		if err != nil {
+			return fmt.Errorf("decode service: %w", err)
+		}
+		if string(s.Name) != name {
+			return fmt.Errorf("service %s under the key of %s", s.Name, name)
+		}
+		return nil
+	}
+	var rec group.Record
+	if err := json.Unmarshal(o.Value, &rec); err != nil {
+		return fmt.Errorf("decode group: %w", err)
+	}
+	if n := len(rec.Targets); n == 0 || n > mostTargets {
+		return fmt.Errorf("group of %d targets, want 1 to %d", n, mostTargets)
+	}
+	return nil
+}
