route, probe: one rule for who holds a write, the strict one

Cause: the rule stood twice (route.Confirmed, unused but by the model; probe.holders) and differed: probe counted what a replica had received after it promised a later term. Change: route.Holds is the one rule, with the promise; probe and the model use it, and probe takes its samples from route.MakeSample.

--- a/internal/process/probe/group.go
+++ b/internal/process/probe/group.go
@@ -1,10 +1,8 @@
 package probe
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"sync"
 
 	"github.com/cactusfork/cactusfork/internal/request/route"
@@ -142,20 +140,11 @@
 func (g *Group) Standing() (route.Sample, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	need := g.rec.Majority()
-	if len(g.answers) < need {
-		return route.Sample{}, false
-	}
-	latest := make([]Answer, 0, len(g.answers))
-	for _, a := range g.answers {
-		latest = append(latest, a)
-	}
-	slices.SortFunc(latest, func(a, b Answer) int { return cmp.Compare(b.AskedAt, a.AskedAt) })
-	s := route.Sample{AskedAt: latest[need-1].AskedAt}
-	for _, a := range latest[:need] {
-		s.Point = position.Max(s.Point, a.Status.Received)
+	answers := make([]route.Answer, 0, len(g.answers))
+	for id, a := range g.answers {
+		answers = append(answers, route.Answer{Target: id, Status: a.Status, AskedAt: a.AskedAt})
 	}
-	return s, true
+	return route.MakeSample(&g.rec, answers)
 }
 
 // Confirm returns once a majority holds p in the term of p; the primary of that term, which reported p, counts as holding it.
@@ -203,10 +192,7 @@
 	defer g.mu.Unlock()
 	n := 0
 	for _, a := range g.answers {
-		if a.Status.Received.Term != p.Term {
-			continue
-		}
-		if a.Status.Primary || a.Status.Received.Reaches(p) {
+		if route.Holds(&a.Status, p) {
 			n++
 		}
 	}
--- a/internal/process/probe/group_test.go
+++ b/internal/process/probe/group_test.go
@@ -70,6 +70,7 @@
 		{"no replica holds it", group.Status{Received: at(2, 9)}, group.Status{Received: at(2, 3)}, nil, 2, context.DeadlineExceeded},
 		{"held in an earlier term only", group.Status{Received: at(1, 99)}, group.Status{Received: at(1, 99)}, nil, 2, context.DeadlineExceeded},
 		{"passed in a later term", group.Status{Received: at(3, 99)}, group.Status{Received: at(3, 99)}, nil, 2, context.DeadlineExceeded},
+		{"received after a later promise", group.Status{Promise: 3, Received: at(2, 10)}, group.Status{Received: at(2, 3)}, nil, 2, context.DeadlineExceeded},
 		{"replaced", group.Status{Received: at(2, 9)}, group.Status{Received: at(3, 20)}, nil, 3, ErrReplaced},
 		{"replicas silent", group.Status{}, group.Status{}, []group.TargetID{"b", "c"}, 2, context.DeadlineExceeded},
 	}
--- a/internal/request/route/model_test.go
+++ b/internal/request/route/model_test.go
@@ -61,7 +61,7 @@
 }
 
 func newWorld(size int, intn func(int) int) *world {
-	w := &world{intn: intn, choose: Choose, confirm: Confirmed, sample: MakeSample, now: 1000}
+	w := &world{intn: intn, choose: Choose, confirm: confirmed, sample: MakeSample, now: 1000}
 	w.record = group.Record{ID: "g", Term: 1, Primary: id(0)}
 	for i := range size {
 		w.servers = append(w.servers, &server{primary: i == 0, following: 0})
@@ -323,3 +323,15 @@
 	}
 	return w.fault, w.served
 }
+
+// confirmed reports whether a majority of the group is known to hold point in its term.
+func confirmed(v *View, point position.Point) bool {
+	n := 0
+	for i := range v.Targets {
+		t := &v.Targets[i]
+		if t.AskedAt > 0 && Holds(&t.Status, point) {
+			n++
+		}
+	}
+	return n >= v.Record.Majority()
+}
--- a/internal/request/route/sample.go
+++ b/internal/request/route/sample.go
@@ -34,27 +34,11 @@
 	return Sample{}, false
 }
 
-// Confirmed reports whether a majority of the group is known to hold point in the term in which it was written.
-func Confirmed(v *View, point position.Point) bool {
-	n := 0
-	for i := range v.Targets {
-		t := &v.Targets[i]
-		if _, member := v.Record.Target(t.ID); member && holds(v, t, point) {
-			n++
-		}
-	}
-	return n >= v.Record.Majority()
-}
-
-// holds does not count what a replica received after it promised a later term:
-// whoever fenced it may have read its log before.
-func holds(v *View, t *TargetView, point position.Point) bool {
-	if t.ID == v.Record.Primary && v.Record.Term == point.Term {
-		return true
-	}
-	s := &t.Status
-	if t.AskedAt == 0 || s.Received.Term != point.Term || s.Received.Position < point.Position {
+// Holds reports whether a target that says s holds p in the term in which p was written; the primary of that term reported p itself.
+// What a replica received after it promised a later term does not count: whoever fenced it may have read its log before.
+func Holds(s *group.Status, p position.Point) bool {
+	if s.Received.Term != p.Term {
 		return false
 	}
-	return s.Primary || s.Promise <= point.Term
+	return s.Primary || s.Promise <= p.Term && s.Received.Reaches(p)
 }
