trial: write the text report from its fields

Cause: the text report was cut out of the JSON text and broke nested figures apart. Change: each line is written from the report's fields; the JSON is encoded as before.

--- a/internal/command/try.go
+++ b/internal/command/try.go
@@ -80,19 +80,11 @@
 }
 
 func printReport(w io.Writer, form string, r *trial.Report) error {
-	text, err := json.Marshal(r)
-	if err != nil {
-		return fmt.Errorf("encode report: %w", err)
-	}
-	if form == "json" {
-		_, err = fmt.Fprintf(w, "%s\n", text)
-		return err
+	if form != "json" {
+		return r.Write(w)
 	}
-	for _, part := range strings.Split(strings.Trim(string(text), "{}"), ",\"") {
-		name, value, _ := strings.Cut(part, ":")
-		if _, err := fmt.Fprintf(w, "%-24s %s\n", strings.Trim(name, `"`), value); err != nil {
-			return err
-		}
+	if err := json.NewEncoder(w).Encode(r); err != nil {
+		return fmt.Errorf("write report: %w", err)
 	}
 	return nil
 }
