trial, standins: start the demo's stand-ins in one place

Cause: the group, the platform, the published record and service, the places and the search for the primary stood twice, for a trial and for daemons in processes of their own. Change: trial.StartStandIns serves both, with StandIns.Primary and DataCentre(i).

--- a/internal/process/standins/plan.go
+++ b/internal/process/standins/plan.go
@@ -9,6 +9,8 @@
 	"path/filepath"
 	"slices"
 	"strings"
+
+	"github.com/cactusfork/cactusfork/internal/trial"
 )
 
 const (
@@ -45,7 +47,7 @@
 	}
 	return &plan{
 		platform: address(port),
-		targets:  addresses(port+targetPorts, members),
+		targets:  addresses(port+targetPorts, trial.Members),
 		callers:  addresses(port+callerPorts, daemons),
 		peers:    addresses(port+peerPorts, daemons),
 		admins:   addresses(port+adminPorts, daemons),
@@ -120,7 +122,7 @@
 	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
 	line("[daemon]")
 	line("id = entry-%d", i+1)
-	line("data-centre = %s", dataCentres[i%len(dataCentres)])
+	line("data-centre = %s", trial.DataCentre(i))
 	line("caller-address = %s", p.callers[i])
 	line("peer-address = %s", p.peers[i])
 	line("admin-address = %s", p.admins[i])
--- a/internal/trial/config.go
+++ b/internal/trial/config.go
@@ -83,8 +83,6 @@
 	// defaultConnectDelay and defaultThinkTime are in milliseconds.
 	defaultConnectDelay clock.Millis = 10
 	defaultThinkTime    clock.Millis = 8
-	// members is the number of targets of a trial's group.
-	members = 3
 	// defaultSessions is the number of sessions unless configured.
 	defaultSessions = 8
 	// defaultLag is the lag of replicas unless configured, in milliseconds.
--- a/internal/trial/environment.go
+++ b/internal/trial/environment.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -12,13 +11,9 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cactusfork/cactusfork/internal/process/control"
 	"github.com/cactusfork/cactusfork/internal/process/entry"
-	"github.com/cactusfork/cactusfork/internal/process/platform"
-	platformstand "github.com/cactusfork/cactusfork/internal/standin/platform"
 	targetstand "github.com/cactusfork/cactusfork/internal/standin/target"
 	"github.com/cactusfork/cactusfork/internal/version/group"
-	"github.com/cactusfork/cactusfork/internal/version/service"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/pkg/event"
 	"github.com/cactusfork/cactusfork/pkg/token"
@@ -54,16 +49,17 @@
 weight = 2
 `
 
-// dataCentres are the places of the demo's daemons and targets.
+// dataCentres are the places of the demo's daemons and targets, in turn.
 var dataCentres = []group.DataCentre{"stgo-a", "stgo-b", "rancagua"}
 
+// DataCentre is the place of the i-th daemon or target.
+func DataCentre(i int) group.DataCentre { return dataCentres[i%len(dataCentres)] }
+
 // Environment is the running stand-ins and daemons of a trial.
 type Environment struct {
-	cfg       Config
-	clk       *clock.Clock
-	Network   *targetstand.Network
-	Targets   []*targetstand.Target
-	Platform  *platformstand.Server
+	cfg Config
+	clk *clock.Clock
+	*StandIns
 	Events    []*event.Log
 	partition *partition
 	instances []*instance
@@ -116,75 +112,27 @@
 	return out
 }
 
-// Store returns a new link to the platform, as an operator's command has.
-func (s *Environment) Store() *platform.Store {
-	return platform.Dial(platform.Config{URL: s.Platform.URL(), Timeout: clock.Second}, s.clk)
-}
-
 func (s *Environment) build(ctx context.Context, log *zap.Logger) error {
-	if err := s.startTargets(ctx); err != nil {
-		return err
-	}
-	if err := s.startPlatform(ctx); err != nil {
+	if err := s.startStandIns(ctx); err != nil {
 		return err
 	}
 	return s.startDaemons(ctx, log)
 }
 
-func (s *Environment) startTargets(ctx context.Context) error {
-	s.Network = targetstand.NewNetwork(s.clk)
-	for i := range members {
-		t, err := s.Network.Start(ctx, targetstand.Config{
-			ID:            group.TargetID(fmt.Sprintf("precios-db-1-%c", 'a'+i)),
-			DataCentre:    dataCentres[i],
-			Slots:         s.cfg.Slots,
-			Connections:   s.cfg.Connections,
-			ConnectDelay:  s.cfg.ConnectDelay,
-			StatementTime: s.cfg.StatementTime,
-			Lag:           s.cfg.Lag,
-		})
-		if err != nil {
-			return fmt.Errorf("start target: %w", err)
-		}
-		s.Targets = append(s.Targets, t)
-		s.partition.place(t.Address(), dataCentres[i])
-	}
-	if err := s.Network.Bootstrap(ctx, s.Targets[0].ID(), 1, Schema); err != nil {
-		return fmt.Errorf("bootstrap group: %w", err)
-	}
-	return nil
-}
-
-func (s *Environment) startPlatform(ctx context.Context) error {
+func (s *Environment) startStandIns(ctx context.Context) error {
 	var err error
-	s.Platform, err = platformstand.Start(ctx, platformstand.Config{})
-	if err != nil {
-		return fmt.Errorf("start platform: %w", err)
-	}
-	rec := group.Record{ID: GroupID, Term: 1, Primary: s.Targets[0].ID()}
-	for i, t := range s.Targets {
-		rec.Targets = append(rec.Targets, group.Target{
-			ID: t.ID(), Address: t.Address(), DataCentre: dataCentres[i], Slots: s.cfg.Slots, Connections: s.cfg.Connections,
-		})
-	}
-	value, err := json.Marshal(rec)
-	if err != nil {
-		return fmt.Errorf("encode group: %w", err)
-	}
-	store := s.Store()
-	if _, err := store.Put(ctx, control.GroupKey(GroupID), value, 0); err != nil {
-		return fmt.Errorf("put group: %w", err)
-	}
-	svc, err := service.Parse("precios.ini", []byte(ServiceFile))
+	s.StandIns, err = StartStandIns(ctx, &StandInConfig{Target: targetstand.Config{
+		Slots:         s.cfg.Slots,
+		Connections:   s.cfg.Connections,
+		ConnectDelay:  s.cfg.ConnectDelay,
+		StatementTime: s.cfg.StatementTime,
+		Lag:           s.cfg.Lag,
+	}}, s.clk)
 	if err != nil {
-		return fmt.Errorf("parse service: %w", err)
-	}
-	value, err = service.Encode(svc)
-	if err != nil {
-		return fmt.Errorf("encode service: %w", err)
+		return err
 	}
-	if _, err := store.Put(ctx, "services/precios", value, 0); err != nil {
-		return fmt.Errorf("put service: %w", err)
+	for _, t := range s.Targets {
+		s.partition.place(t.Address(), t.DataCentre())
 	}
 	return nil
 }
@@ -215,7 +163,7 @@
 		seeds = append(seeds, l.Addr().String())
 	}
 	for i, l := range peers {
-		s.partition.place(l.Addr().String(), dataCentres[i%len(dataCentres)])
+		s.partition.place(l.Addr().String(), DataCentre(i))
 	}
 	for i := range s.cfg.Daemons {
 		s.startDaemon(ctx, log, i, &entry.Parts{
@@ -232,9 +180,9 @@
 	p.Clock = s.clk
 	p.Log = log.With(zap.String("daemon", string(id)))
 	p.Events = events
-	p.Store = s.Store()
+	p.Store = s.Store(s.clk)
 	p.Access.Alter = s.cfg.Alter
-	cfg := entry.Defaults(id, dataCentres[i%len(dataCentres)])
+	cfg := entry.Defaults(id, DataCentre(i))
 	cfg.Seeds = seeds
 	cfg.Policy = s.cfg.Policy
 	cfg.Targets.Dial = s.partition.dialer(cfg.DataCentre)
--- a/internal/trial/fault.go
+++ b/internal/trial/fault.go
@@ -63,7 +63,7 @@
 
 // bring brings one fault about and returns what heals it.
 func (s *Environment) bring(f Fault) (func(context.Context) error, error) {
-	primary := s.primary()
+	primary := s.Primary()
 	switch f {
 	case PrimaryCrash:
 		primary.Crash()
@@ -126,17 +126,6 @@
 	}
 }
 
-// primary is the target that takes writes at the highest term.
-func (s *Environment) primary() *targetstand.Target {
-	best := s.Targets[0]
-	for _, t := range s.Targets {
-		if st := t.Status(); st.Primary && st.Received.Term >= best.Status().Received.Term {
-			best = t
-		}
-	}
-	return best
-}
-
 // cuttable is a listener whose connections can all be cut at once, as the death of the process does.
 type cuttable struct {
 	net.Listener
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -121,7 +121,7 @@
 	if err := s.await(ctx, "a primary with a majority", s.settled); err != nil {
 		return nil, fmt.Errorf("%w: %s", err, s.describe())
 	}
-	rows, err := s.primary().Rows(ctx, "SELECT id, lot FROM quotes")
+	rows, err := s.Primary().Rows(ctx, "SELECT id, lot FROM quotes")
 	if err != nil {
 		return nil, fmt.Errorf("read final state: %w", err)
 	}
@@ -145,7 +145,7 @@
 }
 
 func (s *Environment) settled() bool {
-	p := s.primary()
+	p := s.Primary()
 	top := p.Status().Received
 	n := 0
 	for _, t := range s.Targets {
@@ -153,7 +153,7 @@
 			n++
 		}
 	}
-	return p.Status().Primary && n > members/2
+	return p.Status().Primary && n > Members/2
 }
 
 // latency fills in the times of acknowledged requests.
