entry, probe: drop doubled and dead pieces, sample after the pause

Cause: found in a read-through: 53300 was named twice (refusal.OverloadedCode is the one), busy and waiting were added up in three places, probe.Answers had no caller, what daemons ask of each other stood in the file of the VM list, and a retry took its sample before the pause of the retry policy, or although the policy then refused it. Change: admission.Load.Total; peers.go; the sample of a retry follows its pause.

--- a/internal/process/control/view.go
+++ b/internal/process/control/view.go
@@ -29,7 +29,7 @@
 		AskedAt: t.AskedAt,
 		Down:    t.Down,
 		Leaving: t.Leaving,
-		Busy:    l.Busy + l.Waiting,
+		Busy:    l.Total(),
 		Writes:  l.Writes,
 	}
 }
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -6,15 +6,13 @@
 	"github.com/cactusfork/cactusfork/internal/connection/caller"
 	"github.com/cactusfork/cactusfork/internal/connection/target"
 	"github.com/cactusfork/cactusfork/internal/process/control"
+	"github.com/cactusfork/cactusfork/internal/request/refusal"
 	"github.com/cactusfork/cactusfork/internal/request/route"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/service"
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
 
-// slotsFullCode is how a target says that it has no slot or connection free.
-const slotsFullCode = "53300"
-
 // grant is what a lease is made of.
 type grant struct {
 	svc    *service.Service
@@ -51,7 +49,7 @@
 func (r *router) settle(ctx context.Context, g *grant, reuse bool, o caller.Outcome) {
 	r.meter.sent(o)
 	gate := r.targets.slotGate(g.target)
-	if o.Code == slotsFullCode {
+	if o.Code == refusal.OverloadedCode {
 		gate.refused(r.clk.Now())
 		return
 	}
--- /dev/null
+++ b/internal/process/entry/peers.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cactusfork/cactusfork/internal/process/peer"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/event"
+)
+
+// seeds are the addresses at which other daemons may be found.
+func (d *Daemon) seeds(context.Context) ([]string, error) { return d.cfg.Seeds, nil }
+
+// viewFor answers a peer that asks whether this daemon reaches a target.
+func (d *Daemon) viewFor(id group.ID, t group.TargetID) peer.View {
+	v := peer.View{Daemon: d.cfg.ID}
+	c, ok := d.loop.Snapshot().Groups[id]
+	if !ok {
+		return v
+	}
+	for _, o := range c.View().Targets {
+		if o.ID != t || o.AskedAt == 0 {
+			continue
+		}
+		v.Ago = d.p.Clock.Now() - o.AskedAt
+		v.Reach = peer.Reachable
+		if o.Down || v.Ago > 3*d.cfg.Probe.Interval {
+			v.Reach = peer.Unreachable
+		}
+	}
+	return v
+}
+
+// demand is what this daemon wants of each target, told to peers with each heartbeat.
+func (d *Daemon) demand() []peer.Demand {
+	var out []peer.Demand
+	for id, c := range d.loop.Snapshot().Groups {
+		for _, t := range c.View().Record.Targets {
+			out = append(out, peer.Demand{Group: id, Target: t.ID, Statements: d.targets.load(t.ID).Total()})
+		}
+	}
+	return out
+}
+
+// membersChanged puts daemons that came or went on the time line.
+func (d *Daemon) membersChanged() {
+	now := make(map[group.DaemonID]bool)
+	for _, m := range d.mesh.Live() {
+		now[m.ID] = true
+	}
+	d.known.mu.Lock()
+	defer d.known.mu.Unlock()
+	for id := range now {
+		if !d.known.ids[id] {
+			d.event(event.Event{Kind: event.PeerJoined, Detail: string(id)})
+		}
+	}
+	for id := range d.known.ids {
+		if !now[id] {
+			d.event(event.Event{Kind: event.PeerLost, Detail: string(id)})
+		}
+	}
+	d.known.ids = now
+}
+
+// known are the peers of the last change.
+type known struct {
+	mu  sync.Mutex
+	ids map[group.DaemonID]bool
+}
--- a/internal/process/entry/router.go
+++ b/internal/process/entry/router.go
@@ -75,11 +75,11 @@
 	}
 	n = r.policy.apply(n)
 	n.DataCentre = r.place
-	n.Arrived = r.clk.Now()
-	if err := r.freshen(ctx, c, &n); err != nil {
+	if err := r.again(ctx, n, o); err != nil {
 		return nil, err
 	}
-	if err := r.again(ctx, n, o); err != nil {
+	n.Arrived = r.clk.Now()
+	if err := r.freshen(ctx, c, &n); err != nil {
 		return nil, err
 	}
 	a := &acquisition{r: r, svc: svc, cell: c, need: n, patience: r.patience(c, n)}
@@ -93,7 +93,7 @@
 		return nil
 	}
 	// The limiter bounds how often a full target is asked; the request waits for a slot like the others.
-	if o.Code == slotsFullCode {
+	if o.Code == refusal.OverloadedCode {
 		return nil
 	}
 	a := retry.Attempt{Request: n.Request, Tries: o.Attempt, Deadline: n.Deadline}
@@ -133,7 +133,7 @@
 	var said *target.ServerError
 	switch {
 	case errors.As(err, &said):
-		if said.Code == slotsFullCode {
+		if said.Code == refusal.OverloadedCode {
 			r.targets.slotGate(t).refused(r.clk.Now())
 		}
 	case errors.Is(err, target.ErrPoolBusy), errors.Is(err, context.Canceled), ctx.Err() != nil:
--- a/internal/process/entry/shares.go
+++ b/internal/process/entry/shares.go
@@ -38,7 +38,7 @@
 // divide sets this daemon's share of the slots and of the connections of t.
 func (d *Daemon) divide(now clock.Millis, t *group.Target, live []peer.Member) {
 	gate := d.targets.slotGate(t)
-	demands := []limit.Demand{{Daemon: d.cfg.ID, Want: gate.wanted()}}
+	demands := []limit.Demand{{Daemon: d.cfg.ID, Want: gate.gate.Load().Total()}}
 	for _, m := range live {
 		demands = append(demands, limit.Demand{Daemon: m.ID, Want: wantOf(m, t.ID)})
 	}
--- a/internal/process/entry/slot_gate.go
+++ b/internal/process/entry/slot_gate.go
@@ -18,51 +18,46 @@
 	limiter *limit.Limiter
 }
 
-func newSlotGate(now clock.Millis, t *group.Target, queue int, clk *clock.Clock) *slotGate {
+func newSlotGate(t *group.Target, queue int, clk *clock.Clock) *slotGate {
+	now := clk.Now()
 	l := limit.NewLimiter(now, max(t.Slots, 1))
 	l.Jitter = func(d clock.Millis) clock.Millis { return d/2 + rand.N(d/2+1) }
-	d := &slotGate{clk: clk, gate: admission.NewGate(clk, 0, queue), limiter: l}
-	d.adjust(now)
-	return d
+	g := &slotGate{clk: clk, gate: admission.NewGate(clk, 0, queue), limiter: l}
+	g.adjust(now)
+	return g
 }
 
 // adjust opens the gate as wide as the limiter allows now.
-func (d *slotGate) adjust(now clock.Millis) {
-	d.mu.Lock()
-	n := d.limiter.Slots(now)
-	d.mu.Unlock()
-	d.gate.SetSlots(n)
+func (g *slotGate) adjust(now clock.Millis) {
+	g.mu.Lock()
+	n := g.limiter.Slots(now)
+	g.mu.Unlock()
+	g.gate.SetSlots(n)
 }
 
-func (d *slotGate) setShare(now clock.Millis, n int) {
-	d.mu.Lock()
-	d.limiter.SetShare(now, n)
-	d.mu.Unlock()
-	d.adjust(now)
+func (g *slotGate) setShare(now clock.Millis, n int) {
+	g.mu.Lock()
+	g.limiter.SetShare(now, n)
+	g.mu.Unlock()
+	g.adjust(now)
 }
 
-func (d *slotGate) refused(now clock.Millis) {
-	d.mu.Lock()
-	d.limiter.Refused(now)
-	d.mu.Unlock()
-	d.adjust(now)
+func (g *slotGate) refused(now clock.Millis) {
+	g.mu.Lock()
+	g.limiter.Refused(now)
+	g.mu.Unlock()
+	g.adjust(now)
 }
 
-func (d *slotGate) served() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.limiter.Served()
-}
-
-// wanted is how many statements this daemon has for the target.
-func (d *slotGate) wanted() int {
-	l := d.gate.Load()
-	return l.Busy + l.Waiting
+func (g *slotGate) served() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.Served()
 }
 
 // slots is how many statements this daemon may have at work at the target now.
-func (d *slotGate) slots() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.limiter.Slots(d.clk.Now())
+func (g *slotGate) slots() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limiter.Slots(g.clk.Now())
 }
--- a/internal/process/entry/targets.go
+++ b/internal/process/entry/targets.go
@@ -79,7 +79,7 @@
 	defer s.mu.Unlock()
 	d := s.slotGates[t.ID]
 	if d == nil {
-		d = newSlotGate(s.clk.Now(), t, s.cfg.Queue, s.clk)
+		d = newSlotGate(t, s.cfg.Queue, s.clk)
 		s.slotGates[t.ID] = d
 	}
 	return d
--- a/internal/process/probe/group.go
+++ b/internal/process/probe/group.go
@@ -84,17 +84,6 @@
 	wg.Wait()
 }
 
-// Answers returns the last answer of each target that ever gave one.
-func (g *Group) Answers() map[group.TargetID]Answer {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	out := make(map[group.TargetID]Answer, len(g.answers))
-	for id, a := range g.answers {
-		out[id] = a
-	}
-	return out
-}
-
 // SetTerm tells the term now in force, so that waits for an earlier one end with ErrReplaced.
 func (g *Group) SetTerm(t position.Term) {
 	g.mu.Lock()
--- a/internal/request/admission/gate.go
+++ b/internal/request/admission/gate.go
@@ -26,6 +26,9 @@
 	Writes int
 }
 
+// Total is the number of requests at work and waiting.
+func (l Load) Total() int { return l.Busy + l.Waiting }
+
 // Gate lets as many requests at once to a target as it has slots, and queues the others.
 type Gate struct {
 	clk *clock.Clock
