--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -90,6 +90,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			newServe(stderr),
+			newEdge(stdout),
 			newCheck(stdout, stderr),
 			newPublish(stdout, stderr),
 			newStatus(stdout),
--- /dev/null
+++ b/internal/connection/link/pool.go
@@ -0,0 +1,251 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/cactusfork/cactusfork/internal/request/statement"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// Errors of Get, to be tested with errors.Is.
+var (
+	// ErrFull means that no connection came free in time, which tells nothing of the target.
+	ErrFull = errors.New("all connections to the target are in use")
+	// ErrUnreachable means that no connection to the target could be opened.
+	ErrUnreachable = errors.New("target is unreachable")
+	// ErrClosed means that the pool hands out no more connections.
+	ErrClosed = errors.New("pool is closed")
+)
+
+const (
+	// fullPause is how long a target that takes no further connection is not asked for one.
+	fullPause clock.Millis = 100
+	// idleLimit is how long a connection may rest before it is closed, so that other daemons find a place.
+	idleLimit = 15 * clock.Second
+	// drainLimit bounds the wait for answers that nobody waits for any more.
+	drainLimit = 5 * clock.Second
+)
+
+// PoolConfig says what a pool connects to.
+type PoolConfig struct {
+	Group   group.ID
+	Target  group.TargetID
+	Address string
+	// Maximum is how many connections this daemon may have open.
+	Maximum int
+	Clock   *clock.Clock
+	// Dial opens a connection.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Protocol speaks on an open connection.
+	Protocol func(net.Conn) Wire
+	// StartupTimeout bounds the startup.
+	StartupTimeout clock.Millis
+	// Opened is called for every connection that was opened; it may be nil.
+	Opened func()
+}
+
+// Pool keeps connections to one target.
+type Pool struct {
+	cfg PoolConfig
+
+	mu     sync.Mutex
+	idle   []*Conn
+	open   int
+	closed bool
+	// fullUntil is until when the target is not asked for a further connection.
+	fullUntil clock.Millis
+	// freed is closed when a connection or a place comes free; nil while nobody waits.
+	freed chan struct{}
+}
+
+// NewPool returns an empty pool.
+func NewPool(cfg PoolConfig) *Pool { return &Pool{cfg: cfg} }
+
+// Get returns an idle connection, if possible one with the values in force, or opens one; it waits until the given time at most.
+func (p *Pool) Get(ctx context.Context, v *Values, until clock.Millis) (*Conn, error) {
+	for {
+		c, wait, err := p.take(v)
+		if err != nil || c != nil {
+			return c, err
+		}
+		if wait == nil {
+			c, err = p.dial(ctx, until)
+			if err == nil || !errors.Is(err, ErrFull) {
+				return c, err
+			}
+			continue
+		}
+		if err := p.wait(ctx, wait, until); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (p *Pool) wait(ctx context.Context, freed <-chan struct{}, until clock.Millis) error {
+	left := until - p.cfg.Clock.Now()
+	if left <= 0 {
+		return ErrFull
+	}
+	select {
+	case <-freed:
+		return nil
+	case <-p.cfg.Clock.After(min(left, fullPause)):
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait for a connection: %w", ctx.Err())
+	}
+}
+
+// take returns an idle connection, or what to wait for, or neither when one may be opened.
+func (p *Pool) take(v *Values) (*Conn, <-chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, nil, ErrClosed
+	}
+	for len(p.idle) > 0 {
+		i := p.nearest(v)
+		c := p.idle[i]
+		p.idle = append(p.idle[:i], p.idle[i+1:]...)
+		if c.usable() {
+			return c, nil, nil
+		}
+		c.Break()
+		p.open--
+	}
+	if p.open >= p.cfg.Maximum || p.cfg.Clock.Now() < p.fullUntil {
+		if p.freed == nil {
+			p.freed = make(chan struct{})
+		}
+		return nil, p.freed, nil
+	}
+	p.open++
+	return nil, nil, nil
+}
+
+// nearest returns the latest connection with the values in force, else the latest.
+func (p *Pool) nearest(v *Values) int {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].values.mark == v.mark {
+			return i
+		}
+	}
+	return len(p.idle) - 1
+}
+
+// dial opens a connection for a place that was counted already.
+func (p *Pool) dial(ctx context.Context, until clock.Millis) (*Conn, error) {
+	c, err := p.connect(ctx, until)
+	if err == nil {
+		return c, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	if errors.Is(err, ErrFull) {
+		p.fullUntil = p.cfg.Clock.Now() + fullPause
+	}
+	p.signal()
+	return nil, err
+}
+
+func (p *Pool) connect(ctx context.Context, until clock.Millis) (*Conn, error) {
+	tcp, err := p.cfg.Dial(ctx, p.cfg.Address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	if p.cfg.Opened != nil {
+		p.cfg.Opened()
+	}
+	w := p.cfg.Protocol(tcp)
+	limit := min(until, p.cfg.Clock.Now()+p.cfg.StartupTimeout)
+	r, err := w.Startup(p.cfg.Group, p.cfg.Target, p.cfg.Clock.Deadline(limit))
+	if err == nil && r.Code == statement.OK {
+		return newConn(p.cfg.Target, w, tcp, p.cfg.Clock), nil
+	}
+	_ = tcp.Close() // nothing is owed on it
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: startup: %w", ErrUnreachable, err)
+	case r.Code == statement.TooManyConnections, r.Code == statement.Busy:
+		return nil, fmt.Errorf("%w: %s", ErrFull, r.Code)
+	default:
+		return nil, fmt.Errorf("%w: startup: %w", ErrUnreachable, &statement.Refusal{Code: r.Code, Text: r.Text})
+	}
+}
+
+// Put gives a connection back; one that is broken or in the midst of something is closed.
+func (p *Pool) Put(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || c.broken || c.pending > 0 {
+		c.Break()
+		p.open--
+	} else {
+		p.idle = append(p.idle, c)
+	}
+	p.signal()
+}
+
+// Drain takes a connection on which answers are due that nobody waits for, and keeps it if they leave it at rest.
+func (p *Pool) Drain(c *Conn) {
+	go func() {
+		until := p.cfg.Clock.Now() + drainLimit
+		for c.pending > 0 {
+			r, err := c.Receive(until)
+			if err != nil || c.pending == 0 && r.State != statement.Idle {
+				c.Break()
+				break
+			}
+		}
+		p.Put(c)
+	}()
+}
+
+// Sweep closes connections that have rested for too long.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if c.Rested() < idleLimit {
+			kept = append(kept, c)
+			continue
+		}
+		c.Break()
+		p.open--
+	}
+	p.idle = kept
+}
+
+// Close closes the idle connections and, as they come back, the others.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		c.Break()
+		p.open--
+	}
+	p.idle = nil
+	p.signal()
+}
+
+// Open is the number of connections that are open.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+func (p *Pool) signal() {
+	if p.freed != nil {
+		close(p.freed)
+		p.freed = nil
+	}
+}
--- a/internal/connection/target/quiet_test.go
+++ b/internal/connection/target/quiet_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"runtime"
 	"testing"
+
+	"github.com/cactusfork/cactusfork/internal/connection/socket"
 )
 
 // TestNothingToRead finds out before a connection is lent that the target has ended it or sent what nobody asked for.
@@ -16,14 +18,14 @@
 	for name, spoil := range tests {
 		t.Run(name, func(t *testing.T) {
 			near, far := pair(t)
-			if !nothingToRead(near) {
+			if !socket.Quiet(near) {
 				t.Fatal("got something to read on a quiet connection, want nothing")
 			}
 			if err := spoil(far); err != nil {
 				t.Fatal(err)
 			}
 			// Loopback delivers in its own time; the test's time limit ends the wait.
-			for nothingToRead(near) {
+			for socket.Quiet(near) {
 				runtime.Gosched()
 			}
 		})
--- /dev/null
+++ b/internal/process/edge/daemon.go
@@ -0,0 +1,220 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusfork/cactusfork/internal/connection/link"
+	"github.com/cactusfork/cactusfork/internal/connection/relay"
+	"github.com/cactusfork/cactusfork/internal/connection/socket"
+	store "github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/promotion"
+	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/platform"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+const (
+	// memoryPercent is the part of the VM's memory that the garbage collector tries to stay below.
+	memoryPercent = 60
+	// garbagePercent is how much garbage may gather beside live memory, to spare processor time.
+	garbagePercent = 200
+	// reservedDescriptors are kept for files and for connections to targets and the platform.
+	reservedDescriptors = 700
+	// startupTimeout bounds a caller's startup, which callers give up after 2 s.
+	startupTimeout clock.Millis = 1800
+	// writeTimeout bounds how long a caller may leave its answer unread.
+	writeTimeout = 10 * clock.Second
+	// targetStartup bounds the startup at a target.
+	targetStartup clock.Millis = 600
+	// stopMargin is how long before the end of the grace a daemon stops, in milliseconds.
+	stopMargin clock.Millis = 700
+	mebibyte                = 1 << 20
+)
+
+// targetLimits say when a silent target is given up.
+var targetLimits = socket.Limits{Connect: 400, Unacknowledged: 1500, KeepAlive: 1000}
+
+// storeLimits say when a silent store is given up.
+var storeLimits = socket.Limits{Connect: 800, Unacknowledged: 1500, KeepAlive: 1000}
+
+// callerLimits say when a silent caller is given up.
+var callerLimits = socket.Limits{KeepAlive: 5000}
+
+// Daemon is one process of the proxy on the operator's platform.
+type Daemon struct {
+	id        group.DaemonID
+	file      string
+	set       *Settings
+	clk       *clock.Clock
+	log       *zap.Logger
+	meter     *meter
+	store     *store.Store
+	promote   func(ctx context.Context, g group.ID, t group.TargetID, fence store.Version) error
+	promotion promotion.Settings
+	control   *control
+	samples   *sampler
+	server    *relay.Server
+	view      atomic.Pointer[view]
+	storeUp   atomic.Bool
+	draining  atomic.Bool
+	targets   *net.Dialer
+
+	claimsMu sync.Mutex
+	claims   map[group.ID]seenClaim
+}
+
+// New returns a daemon; nothing runs before Run.
+func New(file string, set *Settings, clk *clock.Clock, log *zap.Logger) *Daemon {
+	d := &Daemon{
+		id: group.DaemonID(set.Daemon.ID), file: file, set: set, clk: clk, log: log, meter: newMeter(),
+		promotion: promotion.Settings{
+			Refusing: set.Failover.Refusing, Silent: set.Failover.Silent, Missing: set.Failover.Missing,
+			Advance: promotion.DefaultSettings().Advance,
+		},
+		samples: newSampler(),
+		targets: socket.Dialer(targetLimits),
+		claims:  make(map[group.ID]seenClaim),
+	}
+	cfg := platform.StoreConfig{
+		Address: set.Platform.StoreAddress, Timeout: set.Platform.Timeout, Wait: set.Platform.Wait,
+		Dial: socket.Dialer(storeLimits).DialContext,
+	}
+	d.store = d.counted(platform.DialStore(cfg))
+	cfg.Address = set.Platform.DutyAddress
+	d.promote = platform.Promoter(cfg, d.id)
+	d.control = newControl(d)
+	d.view.Store(&view{})
+	d.server = relay.New(relay.Config{
+		MaxSessions:    max(1, set.Limits.Descriptors-reservedDescriptors),
+		StartupTimeout: startupTimeout,
+		WriteTimeout:   writeTimeout,
+	}, d.seams(), platform.NewCaller)
+	return d
+}
+
+func (d *Daemon) seams() relay.Seams {
+	return relay.Seams{
+		Clock:           d.clk,
+		Route:           d.route,
+		TransactionIdle: d.transactionIdle,
+		Acquire:         d.acquire,
+		Sample:          d.sample,
+		Proven:          d.proven,
+		Answered:        d.answered,
+		Lost:            d.lost,
+		Report:          d.report,
+	}
+}
+
+func (d *Daemon) route(db topology.Database) (*topology.Route, bool) {
+	cfg := d.view.Load().config
+	if cfg == nil {
+		return nil, false
+	}
+	return cfg.Routes[db], true
+}
+
+func (d *Daemon) transactionIdle() clock.Millis {
+	if cfg := d.view.Load().config; cfg != nil {
+		return cfg.TransactionIdle
+	}
+	return 0
+}
+
+// newTarget joins an entry with a pool of connections.
+func (d *Daemon) newTarget(m *topology.Target) *target {
+	limit := m.Slots
+	if v := d.view.Load(); v.config != nil {
+		limit = v.config.Groups[m.Group].Connections
+	}
+	pool := link.NewPool(link.PoolConfig{
+		Group: m.Group, Target: m.ID, Address: m.Address, Maximum: max(limit, m.Slots, 2), Clock: d.clk,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return d.targets.DialContext(ctx, "tcp", address)
+		},
+		Protocol: platform.NewTarget, StartupTimeout: targetStartup,
+		Opened: func() { d.count("target-connections-opened") },
+	})
+	return newTarget(m, pool, d.clk)
+}
+
+// Run serves until ctx ends, then drains and stops.
+func (d *Daemon) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(d.set.Limits.Memory) * mebibyte * memoryPercent / 100)
+	debug.SetGCPercent(garbagePercent)
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	callers, err := socket.ListenConfig(callerLimits).Listen(inner, "tcp", d.set.Daemon.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	health, err := net.Listen("tcp", d.set.Daemon.HealthAddress)
+	if err != nil {
+		return fmt.Errorf("listen for health checks: %w", err)
+	}
+	go d.control.run(inner)
+	go d.reloadOnSignal(inner, d.file)
+	go d.followConfig(inner)
+	go d.followTargets(inner)
+	go d.serveHTTP(inner, health, http.HandlerFunc(d.health))
+	if d.set.Daemon.MetricsAddress != "" {
+		go d.serveMetrics(inner)
+	}
+	stopping := context.AfterFunc(ctx, func() { d.drain(inner, callers) })
+	defer stopping()
+	d.log.Info("started", zap.String("caller-address", d.set.Daemon.CallerAddress), zap.Any("settings", d.set))
+	served := d.server.Serve(inner, callers)
+	if ctx.Err() != nil {
+		limit, done := context.WithTimeout(inner, (d.set.Daemon.Grace - d.set.Daemon.Notice - stopMargin).Duration())
+		defer done()
+		if err := d.server.Drain(limit); err != nil {
+			d.log.Warn("stopped with work left", zap.Error(err))
+		}
+	}
+	d.log.Info("stopped")
+	if served != nil {
+		return fmt.Errorf("serve: %w", served)
+	}
+	return nil
+}
+
+// drain fails the health check, and takes no new callers once the balancer has had time to see it.
+func (d *Daemon) drain(ctx context.Context, callers net.Listener) {
+	d.draining.Store(true)
+	d.log.Info("draining", zap.Int("sessions", d.server.Len()))
+	_ = d.clk.Sleep(ctx, d.set.Daemon.Notice) // an end of ctx only shortens the notice
+	if err := callers.Close(); err != nil {
+		d.warn("close listener", err)
+	}
+}
+
+// ready reports whether the daemon can serve callers.
+func (d *Daemon) ready() bool {
+	v := d.view.Load()
+	if d.draining.Load() || v.config == nil {
+		return false
+	}
+	for _, g := range v.groups {
+		if len(g.targets) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Daemon) health(w http.ResponseWriter, _ *http.Request) {
+	if !d.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/process/edge/follow.go
@@ -0,0 +1,136 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+
+	"go.uber.org/zap"
+
+	store "github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/platform"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+const (
+	// firstRetry is the wait before the store is asked again after a failure, in milliseconds; it doubles up to lastRetry.
+	firstRetry clock.Millis = 100
+	lastRetry  clock.Millis = 500
+)
+
+// follower reads all objects under a prefix and then their changes.
+type follower struct {
+	d      *Daemon
+	prefix store.Key
+	// apply takes objects; whole is true when they are all there are.
+	apply func(ctx context.Context, objects []store.Object, whole bool)
+	up    bool
+	wait  clock.Millis
+}
+
+// run follows until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		objects, from, err := f.d.store.List(ctx, f.prefix)
+		if !f.noted(ctx, err) {
+			continue
+		}
+		f.apply(ctx, objects, true)
+		f.watch(ctx, from)
+	}
+}
+
+// watch applies changes until the history that it needs is gone.
+func (f *follower) watch(ctx context.Context, from store.Version) {
+	for ctx.Err() == nil {
+		objects, next, err := f.d.store.Watch(ctx, f.prefix, from)
+		if errors.Is(err, store.ErrHistoryGone) {
+			f.d.log.Info("history is gone", zap.String("prefix", string(f.prefix)), zap.Uint64("from", uint64(from)))
+			return
+		}
+		if !f.noted(ctx, err) {
+			continue
+		}
+		if len(objects) > 0 {
+			f.apply(ctx, objects, false)
+		}
+		from = next
+	}
+}
+
+// noted reports whether the call succeeded, and waits after a failure.
+func (f *follower) noted(ctx context.Context, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if err == nil {
+		f.wait = 0
+		if !f.up {
+			f.up = true
+			f.d.log.Info("store follows", zap.String("prefix", string(f.prefix)))
+			f.d.storeChanged(ctx, f.prefix, true)
+		}
+		return true
+	}
+	if f.up {
+		f.up = false
+		f.d.log.Warn("store lost", zap.String("prefix", string(f.prefix)), zap.Error(err))
+		f.d.storeChanged(ctx, f.prefix, false)
+	}
+	f.wait = min(max(2*f.wait, firstRetry), lastRetry)
+	_ = f.d.clk.Sleep(ctx, f.wait/2+clock.Millis(rand.Int64N(int64(f.wait)))) // the end of ctx is seen by the caller
+	return false
+}
+
+// storeChanged notes that the targets' entries are followed again, or no longer.
+func (d *Daemon) storeChanged(ctx context.Context, prefix store.Key, up bool) {
+	if prefix != platform.TargetsPrefix {
+		return
+	}
+	d.storeUp.Store(up)
+	if up {
+		d.control.send(ctx, storeBack{})
+	}
+}
+
+func (d *Daemon) followConfig(ctx context.Context) {
+	f := follower{d: d, prefix: platform.ConfigPrefix, apply: d.applyConfig}
+	f.run(ctx)
+}
+
+func (d *Daemon) applyConfig(ctx context.Context, objects []store.Object, _ bool) {
+	for _, o := range objects {
+		if o.Key != platform.ConfigKey || o.Deleted {
+			continue
+		}
+		cfg, err := platform.ParseConfig(o.Value)
+		if err != nil {
+			d.warn("configuration in the store", err)
+			continue
+		}
+		d.control.send(ctx, configRead{config: cfg})
+	}
+}
+
+func (d *Daemon) followTargets(ctx context.Context) {
+	f := follower{d: d, prefix: platform.TargetsPrefix, apply: d.applyTargets}
+	f.run(ctx)
+}
+
+func (d *Daemon) applyTargets(ctx context.Context, objects []store.Object, whole bool) {
+	m := entriesRead{whole: whole}
+	for _, o := range objects {
+		t, err := platform.ParseTarget(o)
+		if err != nil {
+			d.warn("entry in the store", err)
+		}
+		if o.Deleted || err != nil {
+			m.removed = append(m.removed, group.TargetID(o.Key[len(platform.TargetsPrefix):]))
+			continue
+		}
+		m.entries = append(m.entries, t)
+	}
+	d.control.send(ctx, m)
+}
+
--- /dev/null
+++ b/internal/process/edge/meter.go
@@ -0,0 +1,126 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/cactusfork/cactusfork/internal/connection/relay"
+	store "github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/internal/request/statement"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+)
+
+const (
+	// headerTimeout bounds how long a request over HTTP may take to name itself.
+	headerTimeout = 5 * time.Second
+	// sampleSize is how many times a latency histogram keeps.
+	sampleSize = 512
+)
+
+// meter counts what the daemon does.
+type meter struct{ registry metrics.Registry }
+
+func newMeter() *meter { return &meter{registry: metrics.NewRegistry()} }
+
+// count adds one to a counter.
+func (d *Daemon) count(name string) {
+	metrics.GetOrRegisterCounter(name, d.meter.registry).Inc(1)
+}
+
+func (d *Daemon) time(name string, ms int64) {
+	h, ok := d.meter.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewUniformSample(sampleSize))
+	}).(metrics.Histogram)
+	if ok {
+		h.Update(ms)
+	}
+}
+
+// report counts and logs the outcome of one statement.
+func (d *Daemon) report(o *relay.Outcome) {
+	took := o.Finished - o.Arrived
+	name := "statements-read"
+	if o.Writes || o.Verb == statement.Commit {
+		name = "statements-write"
+	}
+	d.count(name + "-" + o.Code.String())
+	d.time(name+"-ms", int64(took))
+	if o.Target != "" && o.Code == statement.OK && !o.Leader {
+		d.count("statements-by-replica")
+	}
+	if e := d.log.Check(zap.InfoLevel, "statement"); e != nil {
+		route := ""
+		if o.Route != nil {
+			route = o.Route.Name
+		}
+		e.Write(zap.String("request", string(o.ID)), zap.String("database", string(o.Database)), zap.String("route", route),
+			zap.Int("verb", int(o.Verb)), zap.Bool("writes", o.Writes), zap.String("target", string(o.Target)), zap.Bool("primary", o.Leader),
+			zap.Stringer("floor", o.Floor), zap.Int("attempts", o.Attempts), zap.String("cause", o.Cause),
+			zap.Stringer("outcome", o.Code), zap.Int64("arrived", int64(o.Arrived)), zap.Int64("took-ms", int64(took)))
+	}
+}
+
+// counted returns the store with its calls counted.
+func (d *Daemon) counted(s *store.Store) *store.Store {
+	calls := &store.Calls{}
+	for name, n := range map[string]func() int64{
+		"store-calls-get":   func() int64 { return int64(calls.Gets.Load()) },
+		"store-calls-put":   func() int64 { return int64(calls.Puts.Load()) },
+		"store-calls-list":  func() int64 { return int64(calls.Lists.Load()) },
+		"store-calls-watch": func() int64 { return int64(calls.Watches.Load()) },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, d.meter.registry, n)
+	}
+	return store.Counted(s, calls)
+}
+
+func (d *Daemon) warn(what string, err error) {
+	d.count("warnings")
+	d.log.Warn(what, zap.Error(err))
+}
+
+func (d *Daemon) warnTarget(what string, g group.ID, t group.TargetID, err error) {
+	d.count("warnings")
+	d.log.Warn(what, zap.String("group", string(g)), zap.String("target", string(t)), zap.Error(err))
+}
+
+func (d *Daemon) serveMetrics(ctx context.Context) {
+	l, err := net.Listen("tcp", d.set.Daemon.MetricsAddress)
+	if err != nil {
+		d.warn("listen for metrics", err)
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", d.metrics)
+	d.serveHTTP(ctx, l, mux)
+}
+
+func (d *Daemon) metrics(w http.ResponseWriter, _ *http.Request) {
+	d.meter.registry.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case metrics.Counter:
+			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Count()) // a reader that has gone needs no more
+		case metrics.Gauge:
+			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Value())
+		case metrics.Histogram:
+			p := m.Snapshot().Percentiles([]float64{0.5, 0.95, 0.99})
+			_, _ = fmt.Fprintf(w, "%s{count} %d\n%s{p50} %.0f\n%s{p95} %.0f\n%s{p99} %.0f\n", name, m.Count(), name, p[0], name, p[1], name, p[2])
+		}
+	})
+}
+
+func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(d.log)}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.warn("serve http", err)
+	}
+}
--- /dev/null
+++ b/internal/process/edge/samples.go
@@ -0,0 +1,144 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/cactusfork/cactusfork/internal/connection/link"
+	"github.com/cactusfork/cactusfork/internal/request/placement"
+	"github.com/cactusfork/cactusfork/internal/request/statement"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// samplePause is the wait before a primary that could not be asked is asked again, in milliseconds.
+const samplePause clock.Millis = 20
+
+// sampler keeps the newest sample of each group, and asks the primary once for all who wait.
+type sampler struct {
+	mu     sync.Mutex
+	groups map[group.ID]*sampled
+}
+
+type sampled struct {
+	newest placement.Sample
+	// askedAt is when the question under way was asked; done is closed at its end, and nil while there is none.
+	askedAt clock.Millis
+	done    chan struct{}
+}
+
+func newSampler() *sampler { return &sampler{groups: make(map[group.ID]*sampled)} }
+
+func (s *sampler) of(g group.ID) *sampled {
+	e := s.groups[g]
+	if e == nil {
+		e = &sampled{}
+		s.groups[g] = e
+	}
+	return e
+}
+
+// add takes a sample that traffic has brought.
+func (s *sampler) add(g group.ID, n placement.Sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.of(g)
+	e.newest = e.newest.Merge(n)
+}
+
+// get returns the newest sample if it covers since, or else the channel that closes when the question under way ends, which ask says to start.
+func (s *sampler) get(g group.ID, since, now clock.Millis) (n placement.Sample, done chan struct{}, ask bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.of(g)
+	if e.newest.Since(since) {
+		return e.newest, nil, false
+	}
+	if e.done == nil {
+		e.done, e.askedAt, ask = make(chan struct{}), now, true
+	}
+	return placement.Sample{}, e.done, ask
+}
+
+func (s *sampler) end(g group.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.of(g)
+	close(e.done)
+	e.done = nil
+}
+
+// sample returns a sample asked for at or after since.
+func (d *Daemon) sample(ctx context.Context, g group.ID, since, until clock.Millis) (placement.Sample, error) {
+	for {
+		now := d.clk.Now()
+		n, done, ask := d.samples.get(g, since, now)
+		if done == nil {
+			return n, nil
+		}
+		if ask {
+			go d.askPrimary(ctx, g)
+		}
+		if now >= until {
+			return n, &statement.Refusal{Code: statement.Busy, Text: "primary cannot be asked for its position, come back in 300 ms"}
+		}
+		select {
+		case <-done:
+		case <-d.clk.After(until - now):
+		case <-ctx.Done():
+			return n, ctx.Err()
+		}
+	}
+}
+
+// askPrimary lets the primary prove its lead; the answer is a sample.
+func (d *Daemon) askPrimary(ctx context.Context, g group.ID) {
+	defer d.samples.end(g)
+	gv := d.view.Load().groups[g]
+	var t *target
+	if gv != nil {
+		t = gv.target(gv.leader)
+	}
+	if t == nil || t.candidate(true).RestUntil > d.clk.Now() {
+		_ = d.clk.Sleep(ctx, samplePause) // the end of ctx is seen by those who wait
+		return
+	}
+	if err := d.proveLead(ctx, g, t); err != nil {
+		if !errors.Is(err, errDeposed) {
+			d.lost(g, t.meta.Load().ID, err)
+		}
+		_ = d.clk.Sleep(ctx, samplePause) // the end of ctx is seen by those who wait
+	}
+}
+
+var errDeposed = errors.New("target does not lead")
+
+// proveLead asks a target to begin and end a transaction, which only the primary does.
+func (d *Daemon) proveLead(ctx context.Context, g group.ID, t *target) error {
+	until := d.clk.Now() + probeTimeout
+	conn, err := t.pool.Get(ctx, &noValues, until)
+	if err != nil {
+		return err
+	}
+	defer t.pool.Put(conn)
+	asked := d.clk.Now()
+	if err := conn.Send(until, link.Command{Kind: link.Begin}, link.Command{Kind: link.Rollback}); err != nil {
+		return err
+	}
+	var refused error
+	for i := range 2 {
+		r, err := conn.Receive(until)
+		if err != nil {
+			conn.Break()
+			return err
+		}
+		d.answered(g, t.meta.Load().ID, &r, 0)
+		if i == 0 && r.Completed {
+			d.proven(g, t.meta.Load().ID, placement.Sample{Point: r.Point, AskedAt: asked})
+		} else if i == 0 {
+			refused = errDeposed
+		}
+	}
+	return refused
+}
--- /dev/null
+++ b/internal/process/edge/target.go
@@ -0,0 +1,153 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/cactusfork/cactusfork/internal/connection/link"
+	"github.com/cactusfork/cactusfork/internal/connection/relay"
+	"github.com/cactusfork/cactusfork/internal/request/admission"
+	"github.com/cactusfork/cactusfork/internal/request/placement"
+	"github.com/cactusfork/cactusfork/internal/request/statement"
+	"github.com/cactusfork/cactusfork/internal/version/promotion"
+	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/position"
+)
+
+const (
+	// queuePlaces is how many statements may wait for a target in this daemon.
+	queuePlaces = 256
+	// restAfterFailure is how long a target is left alone after a failure, in milliseconds; it doubles up to maxRest.
+	restAfterFailure clock.Millis = 50
+	maxRest          clock.Millis = 400
+	// firstLatency is the time of a statement at a target that has answered none, in milliseconds.
+	firstLatency = 20.0
+	// latencyWeight is the part of a new time in the usual one.
+	latencyWeight = 0.1
+	// mostUrgent is the weight of work of priority 0.
+	mostUrgent = 16
+)
+
+// target is one database server with what this daemon has learnt of it.
+type target struct {
+	meta atomic.Pointer[topology.Target]
+	pool *link.Pool
+	gate *admission.Gate
+	clk  *clock.Clock
+
+	mu           sync.Mutex
+	latency      float64
+	answered     clock.Millis
+	failingSince clock.Millis
+	refusing     bool
+	rest         clock.Millis
+	restUntil    clock.Millis
+	place        position.Point
+	received     position.Point
+	advancedAt   clock.Millis
+}
+
+func newTarget(m *topology.Target, pool *link.Pool, clk *clock.Clock) *target {
+	t := &target{pool: pool, gate: admission.NewGate(clk, m.Slots, queuePlaces), clk: clk, latency: firstLatency}
+	t.meta.Store(m)
+	return t
+}
+
+// candidate is the target as placement sees it.
+func (t *target) candidate(leader bool) placement.Candidate {
+	m := t.meta.Load()
+	load := t.gate.Load()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return placement.Candidate{
+		ID: m.ID, DataCentre: m.DataCentre, Slots: m.Slots, Leader: leader, Leaving: m.Draining,
+		Failing: t.failingSince > 0, RestUntil: t.restUntil, Load: load.Total(),
+		Latency: clock.Millis(t.latency), Place: t.place,
+	}
+}
+
+// member is the target as the decision about a promotion sees it.
+func (t *target) member(leader bool) promotion.Member {
+	m := t.meta.Load()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return promotion.Member{
+		ID: m.ID, Draining: m.Draining, Leader: leader, Answered: t.answered, FailingSince: t.failingSince,
+		Refusing: t.refusing, Received: t.received, AdvancedAt: t.advancedAt,
+	}
+}
+
+// took notes an answer and how long it took; 0 for what takes no slot.
+func (t *target) took(r *link.Reply, d clock.Millis) {
+	now := t.clk.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answered, t.failingSince, t.refusing, t.rest, t.restUntil = now, 0, false, 0, 0
+	if d > 0 && r.Completed {
+		t.latency += latencyWeight * (float64(d) - t.latency)
+	}
+	if t.place.Before(r.Point) {
+		t.place = r.Point
+	}
+	t.hold(r.Point, now)
+}
+
+// hold notes a point that the target has received; t.mu is held.
+func (t *target) hold(p position.Point, now clock.Millis) {
+	if t.received.Before(p) {
+		t.received, t.advancedAt = p, now
+	}
+}
+
+// holds notes what a report says that the target has received.
+func (t *target) holds(p position.Point) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hold(p, t.clk.Now())
+}
+
+// failed notes that the target did not answer, and reports whether that is news.
+func (t *target) failed(err error) bool {
+	now := t.clk.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	first := t.failingSince == 0
+	if first {
+		t.failingSince = now
+	}
+	t.refusing = errors.Is(err, syscall.ECONNREFUSED)
+	t.rest = min(max(2*t.rest, restAfterFailure), maxRest)
+	t.restUntil = now + t.rest
+	return first
+}
+
+// leaveAlone keeps work away for a while, without holding the target for failed.
+func (t *target) leaveAlone(d clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.restUntil = max(t.restUntil, t.clk.Now()+d)
+}
+
+// enter waits for one of the target's slots that this daemon uses.
+func (t *target) enter(ctx context.Context, w *relay.Work) (func(), error) {
+	kind := admission.Read
+	if w.Writes {
+		kind = admission.Write
+	}
+	leave, err := t.gate.Enter(ctx, admission.Ticket{Weight: max(1, mostUrgent-w.Priority), Kind: kind, Deadline: w.Until})
+	if err != nil {
+		return nil, &statement.Refusal{Code: statement.Busy, Text: err.Error() + ", come back in 100 ms"}
+	}
+	return leave, nil
+}
+
+// isTimeout reports whether nothing was heard in time, as opposed to a refusal.
+func isTimeout(err error) bool {
+	var late net.Error
+	return errors.As(err, &late) && late.Timeout()
+}
--- a/internal/process/platform/store.go
+++ b/internal/process/platform/store.go
@@ -18,6 +18,8 @@
 	Key     Key     `json:"key"`
 	Version Version `json:"version"`
 	Value   []byte  `json:"value"`
+	// Deleted is true in what a watch returns for an object that is no more.
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // VM is an entry of the platform's list of machines, which lags behind reality.
@@ -35,6 +37,10 @@
 	ErrConflict = errors.New("object has changed")
 	// ErrUnavailable means that no answer came; an update may or may not have taken effect.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrRefused means that the platform did nothing, so that an update surely has no effect.
+	ErrRefused = errors.New("platform refused the call")
+	// ErrHistoryGone means that a watch asks for changes that the platform no longer knows; list again.
+	ErrHistoryGone = errors.New("history is gone")
 )
 
 // Store is the platform as the daemon sees it; every field is one counted call.
--- a/internal/process/settings/parse.go
+++ b/internal/process/settings/parse.go
@@ -48,6 +48,21 @@
 
 // Parse checks text; file only names it in errors.
 func Parse(file string, text []byte) (*Settings, error) {
+	set := &Settings{}
+	src, err := parseInto(file, text, set)
+	if err != nil {
+		return nil, err
+	}
+	return set, src.whole(set)
+}
+
+// ParseInto checks text and fills the sections of the struct that dst points to, by their tags; file only names it in errors.
+func ParseInto(file string, text []byte, dst any) error {
+	_, err := parseInto(file, text, dst)
+	return err
+}
+
+func parseInto(file string, text []byte, dst any) (*source, error) {
 	src, err := index(file, text)
 	if err != nil {
 		return nil, err
@@ -56,18 +71,14 @@
 	if err != nil {
 		return nil, &Problem{File: file, Section: "file", Message: err.Error()}
 	}
-	set := &Settings{}
-	v := reflect.ValueOf(set).Elem()
+	v := reflect.ValueOf(dst).Elem()
 	for i := range v.NumField() {
 		name := strings.ToLower(v.Type().Field(i).Name)
 		if err := src.section(f, name, v.Field(i)); err != nil {
 			return nil, err
 		}
 	}
-	if err := src.unknown(v); err != nil {
-		return nil, err
-	}
-	return set, src.whole(set)
+	return src, src.unknown(v)
 }
 
 func (s *source) section(f *ini.File, name string, v reflect.Value) error {
--- /dev/null
+++ b/internal/request/placement/doc.go
@@ -0,0 +1,2 @@
+// Package placement decides which target serves a statement, without input or output.
+package placement
--- /dev/null
+++ b/internal/version/promotion/decide.go
@@ -0,0 +1,139 @@
+package promotion
+
+import (
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/position"
+)
+
+// Settings are the times by which a primary is held to have failed.
+type Settings struct {
+	// Refusing is how long a primary must refuse connections.
+	Refusing clock.Millis
+	// Silent is how long a primary must leave questions unanswered.
+	Silent clock.Millis
+	// Missing is how long a group must have no target that says it is the primary.
+	Missing clock.Millis
+	// Advance is for how long a point received by a replica shows that the primary is alive.
+	Advance clock.Millis
+}
+
+// DefaultSettings weigh the failover gap against replacing a primary that lives.
+func DefaultSettings() Settings {
+	return Settings{Refusing: 300, Silent: 700, Missing: 800, Advance: 400}
+}
+
+// Member is a target of a group as this daemon knows it.
+type Member struct {
+	ID       group.TargetID
+	Draining bool
+	// Leader is true for the target that is believed to be the primary.
+	Leader bool
+	// Answered is when the target last answered; 0 when it never did.
+	Answered clock.Millis
+	// FailingSince is when the first failure came that no answer has followed; 0 while there is none.
+	FailingSince clock.Millis
+	// Refusing is true when the target's host refuses connections, rather than being silent.
+	Refusing bool
+	// Received is the last point that the target is known to hold.
+	Received position.Point
+	// AdvancedAt is when Received last rose.
+	AdvancedAt clock.Millis
+}
+
+// Action is what to do about a group's primary.
+type Action int
+
+// The actions.
+const (
+	// Nothing means that there is a primary, or that it is not yet sure that there is none.
+	Nothing Action = iota
+	// Probe means to ask all targets whether they lead and what they hold.
+	Probe
+	// Replace means to promote another target without the primary's help.
+	Replace
+	// HandOver means to move the lead from a primary that is about to stop.
+	HandOver
+)
+
+// String names the action as logs show it.
+func (a Action) String() string {
+	switch a {
+	case Probe:
+		return "probe"
+	case Replace:
+		return "replace"
+	case HandOver:
+		return "hand-over"
+	default:
+		return "nothing"
+	}
+}
+
+// Decide says what to do about a group that has had no primary since leaderless; 0 means that it has one.
+func Decide(list []Member, now, leaderless clock.Millis, s Settings) Action {
+	leader := find(list)
+	if leader == nil {
+		return afterLoss(list, now, leaderless, s.Missing, s)
+	}
+	if leader.FailingSince > 0 {
+		limit := s.Silent
+		if leader.Refusing {
+			limit = s.Refusing
+		}
+		return afterLoss(list, now, leader.FailingSince, limit, s)
+	}
+	if leader.Draining && successor(list) {
+		return HandOver
+	}
+	return Nothing
+}
+
+func afterLoss(list []Member, now, since, limit clock.Millis, s Settings) Action {
+	if since == 0 || now-since < limit || !successor(list) {
+		return Probe
+	}
+	for i := range list {
+		m := &list[i]
+		if !m.Leader && m.AdvancedAt > since && now-m.AdvancedAt < s.Advance {
+			// The primary still sends its log: it is cut off from this daemon alone.
+			return Probe
+		}
+	}
+	return Replace
+}
+
+func find(list []Member) *Member {
+	for i := range list {
+		if list[i].Leader {
+			return &list[i]
+		}
+	}
+	return nil
+}
+
+// successor reports whether a target other than the leader answers.
+func successor(list []Member) bool {
+	for i := range list {
+		m := &list[i]
+		if !m.Leader && !m.Draining && m.FailingSince == 0 && m.Answered > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Best returns the index of the target to promote, or -1: the one that holds most, by those that were asked just now.
+func Best(list []Member) int {
+	best := -1
+	for i := range list {
+		m := &list[i]
+		if m.Leader || m.Draining || m.FailingSince > 0 {
+			continue
+		}
+		if best < 0 || list[best].Received.Before(m.Received) {
+			best = i
+		}
+	}
+	return best
+}
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is an instant or a duration in milliseconds.
@@ -20,7 +22,7 @@
 
 // Clock reads time and waits; the zero value is not usable, see System and NewManual.
 type Clock struct {
-	// Now is monotonic, counted from an arbitrary start of this process.
+	// Now is monotonic, counted from an arbitrary start, and goes on while the machine is suspended.
 	Now func() Millis
 	// Wall is milliseconds since the Unix epoch and may jump.
 	Wall func() Millis
@@ -30,9 +32,8 @@
 
 // System returns the clock of this machine.
 func System() *Clock {
-	start := time.Now()
 	return &Clock{
-		Now:  func() Millis { return FromDuration(time.Since(start)) },
+		Now:  sinceBoot,
 		Wall: func() Millis { return Millis(time.Now().UnixMilli()) },
 		After: func(d Millis) <-chan struct{} {
 			c := make(chan struct{})
@@ -42,6 +43,23 @@
 	}
 }
 
+// sinceBoot reads the clock that counts suspended time too, so that nothing held before a suspension looks fresh after it.
+func sinceBoot() Millis {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic("read the clock of this machine: " + err.Error()) // no kernel that Go runs on lacks it
+	}
+	return Millis(t.Nano() / int64(time.Millisecond))
+}
+
+// Deadline converts an instant of the clock to the standard library's; 0 means never.
+func (c *Clock) Deadline(at Millis) time.Time {
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add((at - c.Now()).Duration())
+}
+
 // Sleep waits for d or until ctx ends, and returns the error of ctx in that case.
 func (c *Clock) Sleep(ctx context.Context, d Millis) error {
 	select {
