--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -36,7 +36,7 @@
 	DutyAddress  string       `ini:"duty-address" need:"yes" kind:"address"`
 	Timeout      clock.Millis `ini:"timeout" default:"1500ms" min:"10ms" max:"1m"`
 	// Wait is how long a watch waits at the store.
-	Wait clock.Millis `ini:"wait" default:"9s" min:"100ms" max:"30s"`
+	Wait clock.Millis `ini:"wait" default:"1500ms" min:"100ms" max:"30s"`
 }
 
 // LimitSettings say what the VM gives.
