--- a/internal/connection/relay/transaction.go
+++ b/internal/connection/relay/transaction.go
@@ -10,7 +10,6 @@
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
 
-
 // runInside runs a statement, or the commit, of the open transaction.
 func (s *session) runInside(ctx context.Context, st statement.Statement) {
 	n, ok := s.newRun(s.tx.route, &st)
--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -13,8 +13,8 @@
 	store "github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/promotion"
-	"github.com/cactusfork/cactusfork/platform"
 	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/platform"
 )
 
 const (
@@ -269,4 +269,3 @@
 	}
 	return fmt.Errorf("%s does not lead in time", id)
 }
-
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -18,8 +18,8 @@
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/promotion"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
-	"github.com/cactusfork/cactusfork/platform"
 	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/platform"
 )
 
 const (
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -9,8 +9,8 @@
 
 	store "github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/internal/version/group"
-	"github.com/cactusfork/cactusfork/platform"
 	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/platform"
 )
 
 const (
@@ -133,4 +133,3 @@
 	}
 	d.control.send(ctx, m)
 }
-
--- a/internal/process/edge/probe.go
+++ b/internal/process/edge/probe.go
@@ -7,8 +7,8 @@
 	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
-	"github.com/cactusfork/cactusfork/platform"
 	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/platform"
 )
 
 const (
