promotion: let evidence from the time of a cut count for nothing

Daemons of a zone that had been cut off held the primary for failed by what they had seen during the cut, and promoted others in the moment the cut healed; once the old primary, whose log ended in an earlier term, which brought back commits that had been replaced. Connections from before the cut stayed silent, so the primary seemed not to answer.

Change: what was seen while the store was away does not count; before a promotion every target is asked on a new connection, and any sign of the primary ends it; a log of an earlier term than the newest known is not promoted. A commit is acknowledged only once its target has shown to lead behind it.

--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// Open opens a further connection, whatever rests in the pool: an answer on it shows that the target can be reached now.
+func (p *Pool) Open(ctx context.Context, until clock.Millis) (*Conn, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, ErrClosed
+	}
+	p.open++
+	p.mu.Unlock()
+	return p.dial(ctx, until)
+}
+
 func (p *Pool) wait(ctx context.Context, freed <-chan struct{}, until clock.Millis) error {
 	left := until - p.cfg.Clock.Now()
 	if left <= 0 {
@@ -236,13 +248,6 @@
 	p.signal()
 }
 
-// Open is the number of connections that are open.
-func (p *Pool) Open() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
 func (p *Pool) signal() {
 	if p.freed != nil {
 		close(p.freed)
--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -194,14 +194,25 @@
 	if !reply.Completed {
 		return n.refused(l, &reply)
 	}
-	if n.writes {
-		n.s.note(n.work.Group, reply.Point)
-		n.s.seams().Proven(n.work.Group, l.Target, placement.Sample{Point: reply.Point, AskedAt: asked})
+	if n.writes && !n.acknowledge(l, &reply) {
+		n.fail(statement.Unknown, "primary was replaced as the write ran")
+		return n.finish(l)
 	}
 	n.deliver(&reply)
 	return n.finish(l)
 }
 
+// acknowledge reports whether a commit that succeeded may be acknowledged: only while the target still leads, as one that ran while it was replaced is in no log from then on.
+func (n *run) acknowledge(l *Lease, r *link.Reply) bool {
+	// The body is only valid until the next answer.
+	r.Body = append([]byte(nil), r.Body...)
+	if !n.provesLead(l) {
+		return false
+	}
+	n.s.note(n.work.Group, r.Point)
+	return true
+}
+
 // note keeps the point of a commit of the session.
 func (s *session) note(g group.ID, p position.Point) {
 	if s.written == nil {
--- a/internal/connection/relay/transaction.go
+++ b/internal/connection/relay/transaction.go
@@ -81,7 +81,7 @@
 		}
 		n.s.seams().Answered(n.work.Group, l.Target, &reply, n.s.now()-asked)
 		if reply.Completed {
-			n.completeInside(l, &reply, placement.Sample{Point: reply.Point, AskedAt: asked})
+			n.completeInside(l, &reply)
 			return
 		}
 		if reply.State == statement.Open && n.mayRepeat(&reply) && n.s.seams().Clock.Sleep(ctx, busyPause) == nil {
@@ -105,18 +105,19 @@
 	return r.Code == statement.Busy
 }
 
-func (n *run) completeInside(l *Lease, r *link.Reply, proof placement.Sample) {
+func (n *run) completeInside(l *Lease, r *link.Reply) {
 	s := n.s
 	if n.writes {
 		s.tx.wrote = true
 	}
 	if n.st.Verb == statement.Commit {
-		if s.tx.wrote {
-			s.note(n.work.Group, r.Point)
-			s.seams().Proven(n.work.Group, l.Target, proof)
-		}
+		known := !s.tx.wrote || n.acknowledge(l, r)
 		s.tx = nil
-		n.deliver(r)
+		if known {
+			n.deliver(r)
+		} else {
+			n.fail(statement.Unknown, "primary was replaced as the commit ran")
+		}
 		if r.State != statement.Idle {
 			l.Conn.Break()
 		}
--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -49,17 +49,19 @@
 
 // change replaces the primary of a group, and tells the loop when the next try may come.
 func (d *Daemon) change(ctx context.Context, g *groupView, why promotion.Action) {
-	pause := retryPause
+	pause, away := retryPause, false
 	target, err := d.replace(ctx, g, why)
 	switch {
 	case errors.Is(err, errClaimed):
 		pause = claimLife
+	case errors.Is(err, store.ErrUnavailable):
+		away = true
 	case err == nil:
 		pause = 0
 	}
 	d.log.Info("change of primary over", zap.String("group", string(g.id)), zap.Stringer("action", why),
 		zap.String("target", string(target)), zap.Error(err))
-	d.control.send(ctx, changed{group: g.id, pause: pause})
+	d.control.send(ctx, changed{group: g.id, pause: pause, storeAway: away})
 }
 
 func (d *Daemon) replace(ctx context.Context, g *groupView, why promotion.Action) (group.TargetID, error) {
@@ -142,20 +144,25 @@
 
 // prepare asks all targets, and returns the one to promote; before a hand-over it holds all that the primary has.
 func (d *Daemon) prepare(ctx context.Context, g *groupView, why promotion.Action) (*target, error) {
-	reports := d.askAll(ctx, g)
+	answers := d.askAll(ctx, g)
+	newest := d.samples.term(g.id)
 	list := make([]promotion.Member, len(g.targets))
 	for i, t := range g.targets {
+		a := &answers[i]
 		list[i] = t.member(t.meta.Load().ID == g.leader)
-		if reports[i] == nil {
+		if why == promotion.Replace && (a.leads || list[i].Leader && a.heard) {
+			return nil, errUnneeded
+		}
+		if a.report == nil {
 			list[i].Draining = true // not to be promoted, as it did not say what it holds
 			continue
 		}
-		list[i].Received = reports[i].Received
-		if why == promotion.Replace && reports[i].Primary && !d.view.Load().leads(g.id, g.leader) {
-			return nil, errUnneeded
-		}
+		list[i].Received = a.report.Received
+		newest = max(newest, a.report.Received.Term)
 	}
-	best := promotion.Best(list)
+	best := promotion.Best(list, newest)
+	d.log.Info("successor", zap.String("group", string(g.id)), zap.Stringer("action", why), zap.Int("chosen", best),
+		zap.Uint64("newest-term", uint64(newest)), zap.Any("targets", list))
 	if best < 0 {
 		return nil, errNoSuccessor
 	}
@@ -173,18 +180,14 @@
 	return gv != nil && gv.leader == id
 }
 
-func (d *Daemon) askAll(ctx context.Context, g *groupView) []*link.Report {
-	reports := make([]*link.Report, len(g.targets))
+func (d *Daemon) askAll(ctx context.Context, g *groupView) []answer {
+	answers := make([]answer, len(g.targets))
 	var wg sync.WaitGroup
 	for i, t := range g.targets {
-		wg.Go(func() {
-			if r, ok := d.ask(ctx, g, t); ok {
-				reports[i] = &r
-			}
-		})
+		wg.Go(func() { answers[i] = d.ask(ctx, g, t, true) })
 	}
 	wg.Wait()
-	return reports
+	return answers
 }
 
 // handOver makes the primary a replica and waits until next has received all that it holds.
@@ -262,7 +265,7 @@
 		if d.view.Load().leads(g.id, id) && id != g.leader {
 			return nil
 		}
-		d.ask(ctx, g, next)
+		d.ask(ctx, g, next, false)
 		if err := d.clk.Sleep(ctx, leadPoll); err != nil {
 			return err
 		}
--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -56,9 +56,11 @@
 		group group.ID
 		// pause is how long to wait before the next try.
 		pause clock.Millis
+		// storeAway is true when the store did not answer.
+		storeAway bool
 	}
-	// storeBack is the return of the store.
-	storeBack struct{}
+	// storeSeen is the return or the loss of the store.
+	storeSeen struct{ up bool }
 )
 
 // member is a target in the control state.
@@ -88,6 +90,8 @@
 	in     chan any
 	config *topology.Config
 	groups map[group.ID]*groupState
+	// storeSince is since when the store has answered; 0 while it does not.
+	storeSince clock.Millis
 }
 
 func newControl(d *Daemon) *control {
@@ -140,7 +144,12 @@
 		if g := c.groups[m.group]; g != nil && g.members[m.target] != nil {
 			g.members[m.target].ledAt = 0
 		}
-	case storeBack:
+	case storeSeen:
+		c.storeSince = 0
+		if !m.up {
+			return
+		}
+		c.storeSince = now
 		for _, g := range c.groups {
 			for _, t := range g.members {
 				if t.lapsedAt > 0 {
@@ -158,6 +167,9 @@
 		if g := c.groups[m.group]; g != nil {
 			g.changing, g.pauseUntil = false, now+m.pause
 		}
+		if m.storeAway && c.storeSince > 0 {
+			c.storeSince = now
+		}
 		return
 	case failed:
 		c.watch(ctx, c.groups[m.group], now)
@@ -185,6 +197,7 @@
 		for id, t := range g.members {
 			if t.lapsedAt == 0 && (slices.Contains(m.removed, id) || m.whole && !present[id]) {
 				t.lapsedAt = now
+				t.leave(true)
 				c.d.log.Info("entry is gone", zap.String("target", string(id)), zap.String("group", string(g.id)))
 			}
 		}
@@ -220,11 +233,13 @@
 		if e.Primary {
 			old.ledAt = now
 		}
+		old.leave(e.Draining)
 		c.logEntry("target found", e)
 		return
 	}
 	was := old.meta.Load()
 	old.lapsedAt = 0
+	old.leave(e.Draining)
 	switch {
 	case e.Primary && !was.Primary:
 		old.ledAt = now
@@ -332,7 +347,7 @@
 	for id, t := range g.members {
 		list = append(list, t.member(id == g.leader))
 	}
-	action := promotion.Decide(list, now, g.leaderless, c.d.promotion)
+	action := promotion.Decide(list, now, g.leaderless, c.storeSince, c.d.promotion)
 	if action != g.action {
 		c.d.log.Info("judged", zap.String("group", string(g.id)), zap.Stringer("action", action), zap.String("primary", string(g.leader)), zap.Any("targets", list))
 		g.action = action
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -35,6 +35,8 @@
 	writeTimeout = 10 * clock.Second
 	// targetStartup bounds the startup at a target.
 	targetStartup clock.Millis = 600
+	// drainMargin is how long before the end of the drain time a leaving target is given its last work, for what is queued and under way.
+	drainMargin = 2 * clock.Second
 	// stopMargin is how long before the end of the grace a daemon stops, in milliseconds.
 	stopMargin clock.Millis = 700
 	mebibyte                = 1 << 20
@@ -144,7 +146,7 @@
 		Protocol: platform.NewTarget, StartupTimeout: targetStartup,
 		Opened: func() { d.count("target-connections-opened") },
 	})
-	return newTarget(m, pool, d.clk)
+	return newTarget(m, pool, d.clk, d.set.Daemon.Drain-drainMargin)
 }
 
 // Run serves until ctx ends, then drains and stops.
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -89,9 +89,7 @@
 		return
 	}
 	d.storeUp.Store(up)
-	if up {
-		d.control.send(ctx, storeBack{})
-	}
+	d.control.send(ctx, storeSeen{up: up})
 }
 
 func (d *Daemon) followConfig(ctx context.Context) {
--- a/internal/process/edge/probe.go
+++ b/internal/process/edge/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/cactusfork/cactusfork/internal/connection/link"
@@ -24,7 +25,7 @@
 func (d *Daemon) probe(ctx context.Context, g *groupView) {
 	var wg sync.WaitGroup
 	for _, t := range g.targets {
-		wg.Go(func() { d.ask(ctx, g, t) })
+		wg.Go(func() { d.ask(ctx, g, t, false) })
 	}
 	wg.Wait()
 	if d.clk.Sleep(ctx, probePause) == nil {
@@ -32,20 +33,34 @@
 	}
 }
 
-// ask puts the questions to one target and returns what it reports; false when it did not.
-func (d *Daemon) ask(ctx context.Context, g *groupView, t *target) (link.Report, bool) {
+// answer is what a target said to the questions.
+type answer struct {
+	// heard is true when the target's host answered at all.
+	heard bool
+	// leads is true when the target has just shown to lead.
+	leads  bool
+	report *link.Report
+}
+
+// ask puts the questions to one target, on a new connection where an old one may be dead.
+func (d *Daemon) ask(ctx context.Context, g *groupView, t *target, anew bool) answer {
 	id := t.meta.Load().ID
 	asked := d.clk.Now()
 	until := asked + probeTimeout
-	conn, err := t.pool.Get(ctx, &noValues, until)
+	get := func() (*link.Conn, error) { return t.pool.Get(ctx, &noValues, until) }
+	if anew {
+		get = func() (*link.Conn, error) { return t.pool.Open(ctx, until) }
+	}
+	conn, err := get()
 	if err != nil {
 		d.lost(g.id, id, err)
-		return link.Report{}, false
+		return answer{heard: errors.Is(err, link.ErrFull)}
 	}
 	defer t.pool.Put(conn)
+	a := answer{heard: true}
 	if err := conn.Send(until, link.Command{Kind: link.Begin}, link.Command{Kind: link.Rollback}, link.Command{Kind: link.Status}); err != nil {
 		d.lost(g.id, id, err)
-		return link.Report{}, false
+		return a
 	}
 	var last link.Reply
 	for i := range 3 {
@@ -53,9 +68,10 @@
 		if err != nil {
 			conn.Break()
 			d.lost(g.id, id, err)
-			return link.Report{}, false
+			return a
 		}
 		if i == 0 && r.Completed {
+			a.leads = true
 			d.proven(g.id, id, placement.Sample{Point: r.Point, AskedAt: asked})
 		} else if i == 0 && r.Code == statement.ReadOnly && g.leader == id {
 			d.control.tell(deposed{group: g.id, target: id})
@@ -64,13 +80,14 @@
 		last = r
 	}
 	if !last.Completed {
-		return link.Report{}, false
+		return a
 	}
 	report, err := platform.ParseStatus(last.Row)
 	if err != nil {
 		d.warn("status of a target", err)
-		return link.Report{}, false
+		return a
 	}
 	t.holds(report.Received)
-	return report, true
+	a.report = &report
+	return a
 }
--- a/internal/process/edge/samples.go
+++ b/internal/process/edge/samples.go
@@ -10,6 +10,7 @@
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/position"
 )
 
 // samplePause is the wait before a primary that could not be asked is asked again, in milliseconds.
@@ -61,6 +62,13 @@
 	return placement.Sample{}, e.done, ask
 }
 
+// term is the newest term of which a sample was seen.
+func (s *sampler) term(g group.ID) position.Term {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.of(g).newest.Point.Term
+}
+
 func (s *sampler) end(g group.ID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -26,6 +26,8 @@
 	MetricsAddress string `ini:"metrics-address" kind:"address"`
 	// Notice is how long a stopping daemon still takes callers while its health check fails.
 	Notice clock.Millis `ini:"notice" default:"2200ms" min:"0s" max:"1m"`
+	// Drain is how long after it has said that it leaves a target may be given work.
+	Drain clock.Millis `ini:"drain" default:"7s" min:"3s" max:"10m"`
 	// Grace is how long a daemon may go on after it was told to stop.
 	Grace clock.Millis `ini:"grace" default:"6s" min:"1s" max:"10m"`
 }
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -50,10 +49,14 @@
 	place        position.Point
 	received     position.Point
 	advancedAt   clock.Millis
+	// leavingSince is when the target was first seen to drain, or its entry to be gone; 0 while it stays.
+	leavingSince clock.Millis
+	// leaveLimit is how long after that it may be given work.
+	leaveLimit clock.Millis
 }
 
-func newTarget(m *topology.Target, pool *link.Pool, clk *clock.Clock) *target {
-	t := &target{pool: pool, gate: admission.NewGate(clk, m.Slots, queuePlaces), clk: clk, latency: firstLatency}
+func newTarget(m *topology.Target, pool *link.Pool, clk *clock.Clock, leaveLimit clock.Millis) *target {
+	t := &target{leaveLimit: leaveLimit, pool: pool, gate: admission.NewGate(clk, m.Slots, queuePlaces), clk: clk, latency: firstLatency}
 	t.meta.Store(m)
 	return t
 }
@@ -62,10 +65,13 @@
 func (t *target) candidate(leader bool) placement.Candidate {
 	m := t.meta.Load()
 	load := t.gate.Load()
+	now := t.clk.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	leaving := t.leavingSince > 0
 	return placement.Candidate{
-		ID: m.ID, DataCentre: m.DataCentre, Slots: m.Slots, Leader: leader, Leaving: m.Draining,
+		ID: m.ID, DataCentre: m.DataCentre, Slots: m.Slots, Leader: leader,
+		Leaving: leaving, Left: leaving && now-t.leavingSince > t.leaveLimit,
 		Failing: t.failingSince > 0, RestUntil: t.restUntil, Load: load.Total(),
 		Latency: clock.Millis(t.latency), Place: t.place,
 	}
@@ -146,8 +152,15 @@
 	return leave, nil
 }
 
-// isTimeout reports whether nothing was heard in time, as opposed to a refusal.
-func isTimeout(err error) bool {
-	var late net.Error
-	return errors.As(err, &late) && late.Timeout()
+// leave notes whether the target is about to go.
+func (t *target) leave(leaving bool) {
+	now := t.clk.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case !leaving:
+		t.leavingSince = 0
+	case t.leavingSince == 0:
+		t.leavingSince = now
+	}
 }
--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -26,6 +26,8 @@
 	Leader bool
 	// Leaving is true for a target that takes no new work as soon as another can.
 	Leaving bool
+	// Left is true for a target that has been leaving for so long that nothing may reach it any more.
+	Left bool
 	// Failing is true while the target has not answered since its last failure.
 	Failing bool
 	// RestUntil is until when the target is left alone after a failure or a refusal.
@@ -77,7 +79,7 @@
 	for i := range list {
 		c := &list[i]
 		switch {
-		case n.Leader && !c.Leader:
+		case n.Leader && !c.Leader, c.Left:
 			continue
 		case tried(n.Tried, c.ID):
 			why = AllTried
--- a/internal/version/promotion/decide.go
+++ b/internal/version/promotion/decide.go
@@ -70,27 +70,30 @@
 	}
 }
 
-// Decide says what to do about a group that has had no primary since leaderless; 0 means that it has one.
-func Decide(list []Member, now, leaderless clock.Millis, s Settings) Action {
+// Decide says what to do about a group that has had no primary since leaderless (0: it has one), by a daemon that has reached the store since storeSince (0: it does not).
+//
+// What was seen while the store was away counts for nothing, as the daemon itself may have been cut off.
+func Decide(list []Member, now, leaderless, storeSince clock.Millis, s Settings) Action {
 	leader := find(list)
 	if leader == nil {
-		return afterLoss(list, now, leaderless, s.Missing, s)
+		return afterLoss(list, now, leaderless, storeSince, s.Missing, s)
 	}
 	if leader.FailingSince > 0 {
 		limit := s.Silent
 		if leader.Refusing {
 			limit = s.Refusing
 		}
-		return afterLoss(list, now, leader.FailingSince, limit, s)
+		return afterLoss(list, now, leader.FailingSince, storeSince, limit, s)
 	}
-	if leader.Draining && successor(list) {
+	if leader.Draining && storeSince > 0 && successor(list) {
 		return HandOver
 	}
 	return Nothing
 }
 
-func afterLoss(list []Member, now, since, limit clock.Millis, s Settings) Action {
-	if since == 0 || now-since < limit || !successor(list) {
+func afterLoss(list []Member, now, since, storeSince, limit clock.Millis, s Settings) Action {
+	since = max(since, storeSince)
+	if storeSince == 0 || now-since < limit || !successor(list) {
 		return Probe
 	}
 	for i := range list {
@@ -124,11 +127,13 @@
 }
 
 // Best returns the index of the target to promote, or -1: the one that holds most, by those that were asked just now.
-func Best(list []Member) int {
+//
+// One whose log ends in a term before the newest that is known would bring back what a later primary has replaced.
+func Best(list []Member, newest position.Term) int {
 	best := -1
 	for i := range list {
 		m := &list[i]
-		if m.Leader || m.Draining || m.FailingSince > 0 {
+		if m.Leader || m.Draining || m.FailingSince > 0 || m.Received.Term < newest {
 			continue
 		}
 		if best < 0 || list[best].Received.Before(m.Received) {
--- /dev/null
+++ b/internal/version/promotion/decide_test.go
@@ -0,0 +1,75 @@
+package promotion
+
+import (
+	"testing"
+
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/position"
+)
+
+func point(term, number uint64) position.Point {
+	return position.Point{Term: position.Term(term), Position: position.Position(number)}
+}
+
+var settings = Settings{Refusing: 300, Silent: 700, Missing: 800, Advance: 400}
+
+func TestDecide(t *testing.T) {
+	const now clock.Millis = 10_000
+	primary := Member{ID: "p", Leader: true, Answered: now}
+	replica := Member{ID: "r", Answered: now, Received: point(1, 9), AdvancedAt: now - 5000}
+	with := func(m Member, f func(*Member)) Member { f(&m); return m }
+	silent := with(primary, func(m *Member) { m.FailingSince = now - 700 })
+	tests := []struct {
+		name       string
+		list       []Member
+		leaderless clock.Millis
+		storeSince clock.Millis
+		want       Action
+	}{
+		{"primary answers", []Member{primary, replica}, 0, 1, Nothing},
+		{"primary has just failed", []Member{with(primary, func(m *Member) { m.FailingSince = now - 100 }), replica}, 0, 1, Probe},
+		{"primary is silent", []Member{silent, replica}, 0, 1, Replace},
+		{"primary refuses", []Member{with(primary, func(m *Member) { m.FailingSince, m.Refusing = now-300, true }), replica}, 0, 1, Replace},
+		{"primary still sends its log to a replica", []Member{silent, with(replica, func(m *Member) { m.AdvancedAt = now - 100 })}, 0, 1, Probe},
+		{"no replica answers either", []Member{silent, with(replica, func(m *Member) { m.FailingSince = now - 10 })}, 0, 1, Probe},
+		{"only a leaving replica is left", []Member{silent, with(replica, func(m *Member) { m.Draining = true })}, 0, 1, Probe},
+		{"no primary for long", []Member{replica}, now - 800, 1, Replace},
+		{"no primary for a moment", []Member{replica}, now - 700, 1, Probe},
+		{"primary leaves", []Member{with(primary, func(m *Member) { m.Draining = true }), replica}, 0, 1, HandOver},
+		{"primary leaves without a successor", []Member{with(primary, func(m *Member) { m.Draining = true })}, 0, 1, Nothing},
+		{"what was seen while the store was away counts for nothing", []Member{with(primary, func(m *Member) { m.FailingSince = now - 5000 }), replica}, 0, now - 600, Probe},
+		{"store is away", []Member{silent, replica}, 0, 0, Probe},
+		{"store is away while the primary leaves", []Member{with(primary, func(m *Member) { m.Draining = true }), replica}, 0, 0, Nothing},
+	}
+	for _, tt := range tests {
+		if got := Decide(tt.list, now, tt.leaderless, tt.storeSince, settings); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestBest(t *testing.T) {
+	tests := []struct {
+		name string
+		list []Member
+		term position.Term
+		want group.TargetID
+	}{
+		{"nobody", nil, 1, ""},
+		{"the one that holds most", []Member{{ID: "a", Received: point(1, 8)}, {ID: "b", Received: point(1, 9)}}, 1, "b"},
+		{"a later term counts for more", []Member{{ID: "a", Received: point(2, 1)}, {ID: "b", Received: point(1, 9)}}, 1, "a"},
+		{"not the one that is replaced", []Member{{ID: "a", Leader: true, Received: point(1, 9)}, {ID: "b", Received: point(1, 8)}}, 1, "b"},
+		{"not one that leaves or fails", []Member{{ID: "a", Draining: true, Received: point(1, 9)}, {ID: "b", FailingSince: 1, Received: point(1, 9)}, {ID: "c", Received: point(1, 1)}}, 1, "c"},
+		{"not one with the log of an earlier term", []Member{{ID: "a", Received: point(1, 718)}}, 2, ""},
+	}
+	for _, tt := range tests {
+		got := group.TargetID("")
+		if i := Best(tt.list, tt.term); i >= 0 {
+			got = tt.list[i].ID
+		}
+		if got != tt.want {
+			t.Errorf("%s: got %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
