edge: purge dead connections, refuse in long outages, step aside when cut off

After a cut healed, a daemon took one silent pooled connection after the other for 10 s; requests that hung on old connections kept the target failing though it answered new ones; a daemon without a primary let every request wait for its whole timeout.

Change: a failure purges what has rested since before it, and counts only if the target has answered nothing sent later; after 2 s without a primary work is refused at once; a daemon that has lost most primaries for 1 s fails its health check and lets resting sessions go elsewhere. Sent bytes may stay without an acknowledgement for 700 ms (1500 before).

--- a/internal/connection/link/conn.go
+++ b/internal/connection/link/conn.go
@@ -48,7 +48,8 @@
 	clk    *clock.Clock
 	values Values
 	names  map[string]bool
-	// answered is when the last answer came.
+	// sent is when the last command went out, and answered when the last answer came.
+	sent     clock.Millis
 	answered clock.Millis
 	broken   bool
 	// pending is the number of answers that are still due.
@@ -63,6 +64,9 @@
 // Rested is how long ago the last answer came.
 func (c *Conn) Rested() clock.Millis { return c.clk.Now() - c.answered }
 
+// Sent is when the last command went out.
+func (c *Conn) Sent() clock.Millis { return c.sent }
+
 // Broken reports whether the connection can carry nothing more.
 func (c *Conn) Broken() bool { return c.broken }
 
@@ -78,6 +82,7 @@
 // Send writes commands; their answers have to be received in order.
 func (c *Conn) Send(until clock.Millis, commands ...Command) error {
 	c.pending += len(commands)
+	c.sent = c.clk.Now()
 	if err := c.wire.Send(c.clk.Deadline(until), commands...); err != nil {
 		c.Break()
 		return err
--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -223,15 +223,29 @@
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.keep(func(c *Conn) bool { return c.Rested() < idleLimit })
+}
+
+// Purge closes the connections that have rested since before t, as they may be dead without a word.
+func (p *Pool) Purge(t clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keep(func(c *Conn) bool { return c.answered >= t })
+	p.signal()
+}
+
+// keep closes the idle connections that are not to be kept; p.mu is held.
+func (p *Pool) keep(wanted func(*Conn) bool) {
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if c.Rested() < idleLimit {
+		if wanted(c) {
 			kept = append(kept, c)
 			continue
 		}
 		c.Break()
 		p.open--
 	}
+	clear(p.idle[len(kept):])
 	p.idle = kept
 }
 
@@ -240,11 +254,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for _, c := range p.idle {
-		c.Break()
-		p.open--
-	}
-	p.idle = nil
+	p.keep(func(*Conn) bool { return false })
 	p.signal()
 }
 
--- /dev/null
+++ b/internal/connection/link/pool_test.go
@@ -0,0 +1,138 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cactusfork/cactusfork/internal/request/statement"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// fakeWires opens connections whose startups answer with code.
+type fakeWires struct {
+	code   statement.Code
+	opened int
+	closed int
+}
+
+func (f *fakeWires) pool(clk *clock.Clock, maximum int) *Pool {
+	return NewPool(PoolConfig{
+		Target: "t", Maximum: maximum, Clock: clk, StartupTimeout: clock.Second,
+		Dial: func(context.Context, string) (net.Conn, error) {
+			near, _ := net.Pipe()
+			return near, nil
+		},
+		Protocol: func(net.Conn) Wire {
+			f.opened++
+			return Wire{
+				Startup: func(group.ID, group.TargetID, time.Time) (Reply, error) { return Reply{Code: f.code}, nil },
+				Send:    func(time.Time, ...Command) error { return nil },
+				Receive: func(time.Time) (Reply, error) { return Reply{Completed: true}, nil },
+				Close:   func() error { f.closed++; return nil },
+				Pending: func() bool { return false },
+			}
+		},
+	})
+}
+
+func get(t *testing.T, p *Pool, v *Values) *Conn {
+	t.Helper()
+	c, err := p.Get(t.Context(), v, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestPoolPrefersTheValuesInForce(t *testing.T) {
+	f := &fakeWires{}
+	p := f.pool(&clock.NewManual(1).Clock, 4)
+	var a, b Values
+	a.Set("x", "1")
+	b.Set("x", "2")
+	first, second := get(t, p, &a), get(t, p, &b)
+	first.Setup(&a, nil)
+	second.Setup(&b, nil)
+	p.Put(first)
+	p.Put(second)
+	if got := get(t, p, &a); got != first {
+		t.Error("got another connection, want the one with the values in force")
+	}
+	if f.opened != 2 {
+		t.Errorf("got %d connections opened, want 2", f.opened)
+	}
+}
+
+func TestPurgeClosesWhatMayBeDead(t *testing.T) {
+	f := &fakeWires{}
+	m := clock.NewManual(1)
+	p := f.pool(&m.Clock, 4)
+	old, fresh := get(t, p, &Values{}), get(t, p, &Values{})
+	m.Advance(100)
+	if _, err := fresh.Receive(200); err != nil {
+		t.Fatal(err)
+	}
+	fresh.pending = 0
+	p.Put(old)
+	p.Put(fresh)
+	p.Purge(50)
+	if got := get(t, p, &Values{}); got != fresh {
+		t.Error("got another connection, want the one that has answered since")
+	}
+	if f.closed != 1 {
+		t.Errorf("got %d connections closed, want 1", f.closed)
+	}
+}
+
+func TestFullTargetIsNotAFailure(t *testing.T) {
+	f := &fakeWires{code: statement.TooManyConnections}
+	p := f.pool(clock.System(), 4)
+	_, err := p.Get(t.Context(), &Values{}, clock.System().Now()+20)
+	if !errors.Is(err, ErrFull) {
+		t.Errorf("got %v, want %v", err, ErrFull)
+	}
+	f.code = statement.WrongTarget
+	_, err = f.pool(clock.System(), 4).Get(t.Context(), &Values{}, clock.System().Now()+20)
+	if !errors.Is(err, ErrUnreachable) {
+		t.Errorf("got %v, want %v", err, ErrUnreachable)
+	}
+}
+
+func TestSetup(t *testing.T) {
+	read := NewPrepared("q1", false)
+	var one, two Values
+	one.Set("a", "1")
+	two.Set("a", "2")
+	two.Set("b", "2")
+	tests := []struct {
+		name   string
+		values *Values
+		stmt   *Prepared
+		want   []Kind
+	}{
+		{"nothing set", &Values{}, nil, nil},
+		{"a value", &one, nil, []Kind{Set}},
+		{"the same value", &one, nil, nil},
+		{"a prepared statement", &one, read, []Kind{Prepare}},
+		{"the same statement", &one, read, nil},
+		{"another value and a new one", &two, read, []Kind{Set, Set}},
+		{"a value less forgets all", &one, read, []Kind{Reset, Set, Prepare}},
+	}
+	c := newConn("t", Wire{}, nil, clock.System())
+	for _, tt := range tests {
+		got := c.Setup(tt.values, tt.stmt)
+		if len(got) != len(tt.want) {
+			t.Errorf("%s: got %v, want kinds %v", tt.name, got, tt.want)
+			continue
+		}
+		for i := range got {
+			if got[i].Kind != tt.want[i] {
+				t.Errorf("%s: got %v, want kinds %v", tt.name, got, tt.want)
+			}
+		}
+	}
+}
--- a/internal/connection/relay/harness_test.go
+++ b/internal/connection/relay/harness_test.go
@@ -201,7 +201,7 @@
 		Sample:          b.sample,
 		Proven:          func(group.ID, group.TargetID, placement.Sample) {},
 		Answered:        func(group.ID, group.TargetID, *link.Reply, clock.Millis) {},
-		Lost:            func(_ group.ID, _ group.TargetID, err error) { b.lost = append(b.lost, err) },
+		Lost:            func(_ group.ID, _ group.TargetID, _ clock.Millis, err error) { b.lost = append(b.lost, err) },
 		Report:          func(o *Outcome) { b.outcomes = append(b.outcomes, *o) },
 	}, nil)
 	b.session = &session{server: s, wire: b.caller(), database: "db"}
--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -226,7 +226,7 @@
 	asked := n.s.now()
 	until := min(n.until, asked+questionTimeout)
 	if err := l.Conn.Send(until, link.Command{Kind: link.Begin}, link.Command{Kind: link.Rollback}); err != nil {
-		n.s.seams().Lost(n.work.Group, l.Target, err)
+		n.s.seams().Lost(n.work.Group, l.Target, l.Conn.Sent(), err)
 		return false
 	}
 	r, err := l.Conn.Receive(until)
@@ -239,7 +239,7 @@
 	}
 	if err != nil {
 		l.Conn.Break()
-		n.s.seams().Lost(n.work.Group, l.Target, err)
+		n.s.seams().Lost(n.work.Group, l.Target, l.Conn.Sent(), err)
 		return false
 	}
 	n.s.seams().Answered(n.work.Group, l.Target, &r, n.s.now()-asked)
@@ -270,7 +270,7 @@
 	if !timedOut || n.writes || n.s.now() >= n.until {
 		l.Conn.Break()
 	}
-	n.s.seams().Lost(n.work.Group, l.Target, err)
+	n.s.seams().Lost(n.work.Group, l.Target, l.Conn.Sent(), err)
 	l.Leave()
 	if l.Conn.Broken() {
 		l.Return()
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -70,8 +70,8 @@
 	Proven func(g group.ID, t group.TargetID, s placement.Sample)
 	// Answered takes a target's answer and how long it took.
 	Answered func(g group.ID, t group.TargetID, r *link.Reply, took clock.Millis)
-	// Lost takes the failure of a connection to a target.
-	Lost func(g group.ID, t group.TargetID, err error)
+	// Lost takes the failure of a connection to a target, by something sent at that time.
+	Lost func(g group.ID, t group.TargetID, sent clock.Millis, err error)
 	// Report takes the outcome of every statement.
 	Report func(o *Outcome)
 }
--- a/internal/connection/relay/server.go
+++ b/internal/connection/relay/server.go
@@ -89,14 +89,21 @@
 	return len(s.sessions)
 }
 
-// Drain ends every session as soon as it rests outside a transaction, and waits for them until ctx ends.
-func (s *Server) Drain(ctx context.Context) error {
+// Shed ends every session that rests outside a transaction, so that its caller connects to another daemon.
+func (s *Server) Shed() {
 	s.mu.Lock()
-	s.draining = true
+	defer s.mu.Unlock()
 	for c := range s.sessions {
 		c.interrupt()
 	}
+}
+
+// Drain ends every session as soon as it rests outside a transaction, and waits for them until ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
 	s.mu.Unlock()
+	s.Shed()
 	done := make(chan struct{})
 	go func() {
 		s.ended.Wait()
--- a/internal/connection/relay/transaction.go
+++ b/internal/connection/relay/transaction.go
@@ -44,7 +44,7 @@
 		// Nothing but the begin was sent.
 		n.outcome.Cause = err.Error()
 		l.Conn.Break()
-		n.s.seams().Lost(n.work.Group, l.Target, err)
+		n.s.seams().Lost(n.work.Group, l.Target, l.Conn.Sent(), err)
 		n.work.Need.Tried = append(n.work.Need.Tried, l.Target)
 		n.endLease(l)
 		if n.s.now() < n.until {
@@ -75,7 +75,7 @@
 		reply, err := l.Conn.Run(n.until, l.Conn.Setup(&n.s.values, n.prepared), n.command(position.Point{}))
 		if err != nil {
 			l.Conn.Break()
-			n.s.seams().Lost(n.work.Group, l.Target, err)
+			n.s.seams().Lost(n.work.Group, l.Target, l.Conn.Sent(), err)
 			n.lostInside(err)
 			return
 		}
--- a/internal/process/edge/acquire.go
+++ b/internal/process/edge/acquire.go
@@ -18,6 +18,8 @@
 	choosePause clock.Millis = 15
 	// fullRest is how long a target that takes no further connection is left to others, in milliseconds.
 	fullRest clock.Millis = 30
+	// connectionWait bounds the wait for a connection before a target is chosen anew, in milliseconds.
+	connectionWait clock.Millis = 150
 )
 
 // acquire waits for a target, a slot and a connection.
@@ -32,7 +34,8 @@
 			return nil, &statement.Refusal{Code: statement.Lagging, Text: "no target serves the statement now, come back in 100 ms"}
 		}
 		if i < 0 {
-			if d.clk.Now()+choosePause >= w.Until {
+			now := d.clk.Now()
+			if now+choosePause >= w.Until || w.Need.Leader && placement.Hopeless(g.outageSince(), now) {
 				return nil, &statement.Refusal{Code: statement.Busy, Text: string(why) + ", come back in 300 ms"}
 			}
 			if err := d.clk.Sleep(ctx, choosePause); err != nil {
@@ -53,9 +56,13 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := t.pool.Get(ctx, w.Values, w.Until)
+	now := d.clk.Now()
+	conn, err := t.pool.Get(ctx, w.Values, min(w.Until, now+connectionWait))
 	id := t.meta.Load().ID
 	switch {
+	case err == nil && t.candidate(false).Left:
+		// It has left while the statement waited.
+		t.pool.Put(conn)
 	case err == nil:
 		return &relay.Lease{
 			Conn: conn, Target: id, Leader: id == g.leader, Enter: t.enter, Leave: leave,
@@ -68,7 +75,7 @@
 	case errors.Is(err, link.ErrFull):
 		t.leaveAlone(fullRest)
 	default:
-		d.lost(w.Group, id, err)
+		d.lost(w.Group, id, now, err)
 	}
 	leave()
 	return nil, nil
@@ -90,16 +97,22 @@
 	}
 }
 
-// lost takes the failure of a connection to a target.
-func (d *Daemon) lost(g group.ID, id group.TargetID, err error) {
+// lost takes the failure of a connection to a target, by something sent at that time.
+func (d *Daemon) lost(g group.ID, id group.TargetID, sent clock.Millis, err error) {
 	v := d.view.Load()
 	t := v.findTarget(g, id)
 	if t == nil || errors.Is(err, link.ErrFull) || errors.Is(err, link.ErrClosed) {
 		return
 	}
-	if t.failed(err) {
+	// What has rested since before that may be dead as well.
+	t.pool.Purge(sent)
+	news, fails := t.failed(sent, err)
+	if news {
 		d.warnTarget("target does not answer", g, id, err)
 	}
+	if !fails {
+		return
+	}
 	if v.leads(g, id) {
 		d.control.tell(failed{group: g, target: id})
 	}
--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/promotion"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
@@ -293,6 +294,34 @@
 	for _, g := range c.groups {
 		c.watch(ctx, g, now)
 	}
+	c.isolate(now)
+}
+
+// isolate leaves the callers to other daemons while this one is cut off from the primaries.
+func (c *control) isolate(now clock.Millis) {
+	var since []clock.Millis
+	v := c.d.view.Load()
+	for id, g := range v.groups {
+		if _, ok := c.configGroup(id); ok {
+			since = append(since, g.outageSince())
+		}
+	}
+	isolated := placement.Isolated(since, now)
+	if c.d.isolated.Swap(isolated) == isolated {
+		return
+	}
+	c.d.log.Warn("isolation", zap.Bool("isolated", isolated), zap.Any("without-primary-since", since), zap.Int("sessions", c.d.server.Len()))
+	if isolated {
+		c.d.server.Shed()
+	}
+}
+
+func (c *control) configGroup(id group.ID) (topology.Group, bool) {
+	if c.config == nil {
+		return topology.Group{}, false
+	}
+	g, ok := c.config.Groups[id]
+	return g, ok
 }
 
 // elect returns the target with the latest evidence that it leads.
@@ -326,7 +355,7 @@
 		case g.leaderless == 0:
 			g.leaderless = now
 		}
-		gv := &groupView{id: id, leader: g.leader}
+		gv := &groupView{id: id, leader: g.leader, leaderless: g.leaderless}
 		for _, k := range slices.Sorted(maps.Keys(g.members)) {
 			gv.targets = append(gv.targets, g.members[k].target)
 		}
@@ -337,10 +366,10 @@
 
 // watch decides about the group's primary and starts what is to be done.
 func (c *control) watch(ctx context.Context, g *groupState, now clock.Millis) {
-	if g == nil || g.changing || c.config == nil {
+	if g == nil || g.changing {
 		return
 	}
-	if _, ok := c.config.Groups[g.id]; !ok {
+	if _, ok := c.configGroup(g.id); !ok {
 		return
 	}
 	list := make([]promotion.Member, 0, len(g.members))
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -43,7 +43,7 @@
 )
 
 // targetLimits say when a silent target is given up.
-var targetLimits = socket.Limits{Connect: 400, Unacknowledged: 1500, KeepAlive: 1000}
+var targetLimits = socket.Limits{Connect: 400, Unacknowledged: 700, KeepAlive: 1000}
 
 // storeLimits say when a silent store is given up.
 var storeLimits = socket.Limits{Connect: 800, Unacknowledged: 1500, KeepAlive: 1000}
@@ -68,7 +68,9 @@
 	view      atomic.Pointer[view]
 	storeUp   atomic.Bool
 	draining  atomic.Bool
-	targets   *net.Dialer
+	// isolated is true while the daemon is cut off from most primaries.
+	isolated atomic.Bool
+	targets  *net.Dialer
 
 	claimsMu sync.Mutex
 	claims   map[group.ID]seenClaim
@@ -202,7 +204,7 @@
 // ready reports whether the daemon can serve callers.
 func (d *Daemon) ready() bool {
 	v := d.view.Load()
-	if d.draining.Load() || v.config == nil {
+	if d.draining.Load() || d.isolated.Load() || v.config == nil {
 		return false
 	}
 	for _, g := range v.groups {
--- a/internal/process/edge/probe.go
+++ b/internal/process/edge/probe.go
@@ -53,13 +53,13 @@
 	}
 	conn, err := get()
 	if err != nil {
-		d.lost(g.id, id, err)
+		d.lost(g.id, id, asked, err)
 		return answer{heard: errors.Is(err, link.ErrFull)}
 	}
 	defer t.pool.Put(conn)
 	a := answer{heard: true}
 	if err := conn.Send(until, link.Command{Kind: link.Begin}, link.Command{Kind: link.Rollback}, link.Command{Kind: link.Status}); err != nil {
-		d.lost(g.id, id, err)
+		d.lost(g.id, id, asked, err)
 		return a
 	}
 	var last link.Reply
@@ -67,7 +67,7 @@
 		r, err := conn.Receive(until)
 		if err != nil {
 			conn.Break()
-			d.lost(g.id, id, err)
+			d.lost(g.id, id, asked, err)
 			return a
 		}
 		if i == 0 && r.Completed {
--- a/internal/process/edge/samples.go
+++ b/internal/process/edge/samples.go
@@ -88,7 +88,8 @@
 		if ask {
 			go d.askPrimary(ctx, g)
 		}
-		if now >= until {
+		gv := d.view.Load().groups[g]
+		if now >= until || gv != nil && placement.Hopeless(gv.outageSince(), now) {
 			return n, &statement.Refusal{Code: statement.Busy, Text: "primary cannot be asked for its position, come back in 300 ms"}
 		}
 		select {
@@ -112,9 +113,10 @@
 		_ = d.clk.Sleep(ctx, samplePause) // the end of ctx is seen by those who wait
 		return
 	}
+	asked := d.clk.Now()
 	if err := d.proveLead(ctx, g, t); err != nil {
 		if !errors.Is(err, errDeposed) {
-			d.lost(g, t.meta.Load().ID, err)
+			d.lost(g, t.meta.Load().ID, asked, err)
 		}
 		_ = d.clk.Sleep(ctx, samplePause) // the end of ctx is seen by those who wait
 	}
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -117,19 +117,29 @@
 	t.hold(p, t.clk.Now())
 }
 
-// failed notes that the target did not answer, and reports whether that is news.
-func (t *target) failed(err error) bool {
+// failed notes that something sent at that time was not answered, and reports whether the target fails by that and whether that is news; it does not when it has answered something sent later.
+func (t *target) failed(sent clock.Millis, err error) (news, fails bool) {
 	now := t.clk.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	first := t.failingSince == 0
-	if first {
+	if t.answered > sent {
+		return false, false
+	}
+	news = t.failingSince == 0
+	if news {
 		t.failingSince = now
 	}
 	t.refusing = errors.Is(err, syscall.ECONNREFUSED)
 	t.rest = min(max(2*t.rest, restAfterFailure), maxRest)
 	t.restUntil = now + t.rest
-	return first
+	return news, true
+}
+
+// outageSince is when the target began to fail; 0 while it answers.
+func (t *target) outageSince() clock.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failingSince
 }
 
 // leaveAlone keeps work away for a while, without holding the target for failed.
--- a/internal/process/edge/view.go
+++ b/internal/process/edge/view.go
@@ -4,6 +4,7 @@
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
 // view is the immutable state that traffic works by.
@@ -17,6 +18,16 @@
 	id      group.ID
 	targets []*target
 	leader  group.TargetID
+	// leaderless is since when no target is believed to be the primary; 0 while one is.
+	leaderless clock.Millis
+}
+
+// outageSince is since when the group has had no primary that answers; 0 while it has one.
+func (g *groupView) outageSince() clock.Millis {
+	if t := g.target(g.leader); t != nil {
+		return t.outageSince()
+	}
+	return g.leaderless
 }
 
 func (g *groupView) candidates() []placement.Candidate {
--- a/internal/request/placement/choose_test.go
+++ b/internal/request/placement/choose_test.go
@@ -68,3 +68,39 @@
 		t.Error("got a sample without a point, want none")
 	}
 }
+
+func TestIsolated(t *testing.T) {
+	tests := []struct {
+		name  string
+		since []clock.Millis
+		want  bool
+	}{
+		{"no groups", nil, false},
+		{"all have a primary", []clock.Millis{0, 0, 0}, false},
+		{"one group has none", []clock.Millis{1_000, 0, 0}, false},
+		{"most groups have none", []clock.Millis{1_000, 1_000, 0}, true},
+		{"most groups have just lost theirs", []clock.Millis{9_500, 9_500, 0}, false},
+	}
+	for _, tt := range tests {
+		if got := Isolated(tt.since, 10_000); got != tt.want {
+			t.Errorf("%s: got %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestHopeless(t *testing.T) {
+	tests := []struct {
+		name       string
+		since, now clock.Millis
+		want       bool
+	}{
+		{"no outage", 0, 10_000, false},
+		{"a change of primary may be under way", 9_000, 10_000, false},
+		{"an outage that lasts", 7_000, 10_000, true},
+	}
+	for _, tt := range tests {
+		if got := Hopeless(tt.since, tt.now); got != tt.want {
+			t.Errorf("%s: got %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
