link: keep the connections that the recent peak needs, take a reset at startup as full

Targets reset what they accept over MaxConns; daemons took the reset for a failed target, held the primary for failed, asked for promotions and stepped aside as isolated, while others kept up to 33 idle connections for 15 s.

Change: a reset or an end of the connection at startup means full, not failed; a pool closes what the peak of the last 2 to 4 s did not need, but for one spare. Statements carry their session's number in the log.

--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
@@ -27,6 +29,9 @@
 	fullPause clock.Millis = 100
 	// idleLimit is how long a connection may rest before it is closed, so that other daemons find a place.
 	idleLimit = 15 * clock.Second
+	// peakWindow is for how long a peak of use counts, and spare how many connections are kept beside it.
+	peakWindow = 2 * clock.Second
+	spare      = 1
 	// drainLimit bounds the wait for answers that nobody waits for any more.
 	drainLimit = 5 * clock.Second
 )
@@ -57,6 +62,9 @@
 	idle   []*Conn
 	open   int
 	closed bool
+	// peak and lastPeak are the most connections in use at once in the present window and the one before.
+	peak, lastPeak int
+	windowEnd      clock.Millis
 	// fullUntil is until when the target is not asked for a further connection.
 	fullUntil clock.Millis
 	// freed is closed when a connection or a place comes free; nil while nobody waits.
@@ -125,6 +133,7 @@
 		c := p.idle[i]
 		p.idle = append(p.idle[:i], p.idle[i+1:]...)
 		if c.usable() {
+			p.used()
 			return c, nil, nil
 		}
 		c.Break()
@@ -137,9 +146,13 @@
 		return nil, p.freed, nil
 	}
 	p.open++
+	p.used()
 	return nil, nil, nil
 }
 
+// used notes how many connections are in use; p.mu is held.
+func (p *Pool) used() { p.peak = max(p.peak, p.open-len(p.idle)) }
+
 // nearest returns the latest connection with the values in force, else the latest.
 func (p *Pool) nearest(v *Values) int {
 	for i := len(p.idle) - 1; i >= 0; i-- {
@@ -182,6 +195,9 @@
 	}
 	_ = tcp.Close() // nothing is owed on it
 	switch {
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF):
+		// A target over its limit may reset what it has just accepted.
+		return nil, fmt.Errorf("%w: startup: %w", ErrFull, err)
 	case err != nil:
 		return nil, fmt.Errorf("%w: startup: %w", ErrUnreachable, err)
 	case r.Code == statement.TooManyConnections, r.Code == statement.Busy:
@@ -219,11 +235,22 @@
 	}()
 }
 
-// Sweep closes connections that have rested for too long.
+// Sweep closes connections that have rested for too long, and those that the recent peak did not need, as other daemons wait for their places.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.keep(func(c *Conn) bool { return c.Rested() < idleLimit })
+	if now := p.cfg.Clock.Now(); now >= p.windowEnd {
+		p.lastPeak, p.peak, p.windowEnd = p.peak, 0, now+peakWindow
+		p.used()
+	}
+	extra := p.open - max(p.peak, p.lastPeak) - spare
+	p.keep(func(c *Conn) bool {
+		if extra > 0 {
+			extra--
+			return false
+		}
+		return c.Rested() < idleLimit
+	})
 }
 
 // Purge closes the connections that have rested since before t, as they may be dead without a word.
--- a/internal/connection/link/pool_test.go
+++ b/internal/connection/link/pool_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,6 +18,7 @@
 // fakeWires opens connections whose startups answer with code.
 type fakeWires struct {
 	code   statement.Code
+	err    error
 	opened int
 	closed int
 }
@@ -29,7 +33,7 @@
 		Protocol: func(net.Conn) Wire {
 			f.opened++
 			return Wire{
-				Startup: func(group.ID, group.TargetID, time.Time) (Reply, error) { return Reply{Code: f.code}, nil },
+				Startup: func(group.ID, group.TargetID, time.Time) (Reply, error) { return Reply{Code: f.code}, f.err },
 				Send:    func(time.Time, ...Command) error { return nil },
 				Receive: func(time.Time) (Reply, error) { return Reply{Completed: true}, nil },
 				Close:   func() error { f.closed++; return nil },
@@ -102,6 +106,40 @@
 	}
 }
 
+func TestResetAtStartupMeansFull(t *testing.T) {
+	for _, err := range []error{syscall.ECONNRESET, io.EOF} {
+		f := &fakeWires{err: fmt.Errorf("read from target: %w", err)}
+		_, got := f.pool(clock.System(), 4).Get(t.Context(), &Values{}, clock.System().Now()+20)
+		if !errors.Is(got, ErrFull) {
+			t.Errorf("%v: got %v, want %v", err, got, ErrFull)
+		}
+	}
+}
+
+func TestSweepKeepsWhatTheRecentPeakNeeds(t *testing.T) {
+	f := &fakeWires{}
+	m := clock.NewManual(1)
+	p := f.pool(&m.Clock, 8)
+	var used []*Conn
+	for range 4 {
+		used = append(used, get(t, p, &Values{}))
+	}
+	for _, c := range used {
+		p.Put(c)
+	}
+	p.Sweep()
+	if f.closed != 0 {
+		t.Errorf("got %d connections closed within the peak's window, want 0", f.closed)
+	}
+	for range 3 {
+		m.Advance(peakWindow)
+		p.Sweep()
+	}
+	if want := 3; f.closed != want {
+		t.Errorf("got %d connections closed behind the peak's window, want %d", f.closed, want)
+	}
+}
+
 func TestSetup(t *testing.T) {
 	read := NewPrepared("q1", false)
 	var one, two Values
--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -69,7 +69,7 @@
 	}
 	n.until = n.since + r.Timeout
 	n.outcome = Outcome{
-		ID: st.ID, Database: s.database, Route: r, Verb: st.Verb, Writes: n.writes, Arrived: n.since,
+		Session: s.id, ID: st.ID, Database: s.database, Route: r, Verb: st.Verb, Writes: n.writes, Arrived: n.since,
 	}
 	n.work = Work{Group: r.Group, Values: &s.values, Priority: r.Priority, Writes: n.writes, Until: n.until}
 	return n, true
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -76,8 +76,12 @@
 	Report func(o *Outcome)
 }
 
+// SessionID numbers the sessions of a daemon.
+type SessionID uint64
+
 // Outcome is what became of one statement.
 type Outcome struct {
+	Session  SessionID
 	ID       statement.ID
 	Database topology.Database
 	Route    *topology.Route
--- a/internal/connection/relay/server.go
+++ b/internal/connection/relay/server.go
@@ -28,6 +28,7 @@
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
+	last     SessionID
 	draining bool
 	ended    sync.WaitGroup
 }
@@ -65,6 +66,8 @@
 func (s *Server) start(ctx context.Context, wire net.Conn) {
 	c := &session{server: s, wire: s.protocol(wire)}
 	s.mu.Lock()
+	s.last++
+	c.id = s.last
 	if len(s.sessions) >= s.cfg.MaxSessions {
 		s.mu.Unlock()
 		_ = wire.Close() // over the limit; a caller comes back elsewhere
--- a/internal/connection/relay/session.go
+++ b/internal/connection/relay/session.go
@@ -23,6 +23,7 @@
 
 // session is one caller's connection; its own goroutine uses all but what mu guards.
 type session struct {
+	id       SessionID
 	server   *Server
 	wire     Wire
 	database topology.Database
--- a/internal/process/edge/meter.go
+++ b/internal/process/edge/meter.go
@@ -60,7 +60,7 @@
 		if o.Route != nil {
 			route = o.Route.Name
 		}
-		e.Write(zap.String("request", string(o.ID)), zap.String("database", string(o.Database)), zap.String("route", route),
+		e.Write(zap.Uint64("session", uint64(o.Session)), zap.String("request", string(o.ID)), zap.String("database", string(o.Database)), zap.String("route", route),
 			zap.Int("verb", int(o.Verb)), zap.Bool("writes", o.Writes), zap.String("target", string(o.Target)), zap.Bool("primary", o.Leader),
 			zap.Stringer("floor", o.Floor), zap.Int("attempts", o.Attempts), zap.String("cause", o.Cause),
 			zap.Stringer("outcome", o.Code), zap.Int64("arrived", int64(o.Arrived)), zap.Int64("took-ms", int64(took)))
