placement: give reads the lowest floor that is young enough

A bounded read took the newest sample for its floor, which a replica 20 ms behind lacks at that moment, and a place seen seconds ago counted as the replica's place now.

--- a/internal/process/edge/samples.go
+++ b/internal/process/edge/samples.go
@@ -23,7 +23,7 @@
 }
 
 type sampled struct {
-	newest placement.Sample
+	history placement.History
 	// askedAt is when the question under way was asked; done is closed at its end, and nil while there is none.
 	askedAt clock.Millis
 	done    chan struct{}
@@ -44,17 +44,16 @@
 func (s *sampler) add(g group.ID, n placement.Sample) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.of(g)
-	e.newest = e.newest.Merge(n)
+	s.of(g).history.Add(n)
 }
 
-// get returns the newest sample if it covers since, or else the channel that closes when the question under way ends, which ask says to start.
+// get returns the oldest sample that covers since, or else the channel that closes when the question under way ends, which ask says to start.
 func (s *sampler) get(g group.ID, since, now clock.Millis) (n placement.Sample, done chan struct{}, ask bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.of(g)
-	if e.newest.Since(since) {
-		return e.newest, nil, false
+	if n, ok := e.history.Oldest(since); ok {
+		return n, nil, false
 	}
 	if e.done == nil {
 		e.done, e.askedAt, ask = make(chan struct{}), now, true
@@ -66,7 +65,7 @@
 func (s *sampler) term(g group.ID) position.Term {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.of(g).newest.Point.Term
+	return s.of(g).history.Newest().Point.Term
 }
 
 func (s *sampler) end(g group.ID) {
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -47,6 +47,7 @@
 	rest         clock.Millis
 	restUntil    clock.Millis
 	place        position.Point
+	placeAt      clock.Millis
 	received     position.Point
 	advancedAt   clock.Millis
 	// leavingSince is when the target was first seen to drain, or its entry to be gone; 0 while it stays.
@@ -73,7 +74,7 @@
 		ID: m.ID, DataCentre: m.DataCentre, Slots: m.Slots, Leader: leader,
 		Leaving: leaving, Left: leaving && now-t.leavingSince > t.leaveLimit,
 		Failing: t.failingSince > 0, RestUntil: t.restUntil, Load: load.Total(),
-		Latency: clock.Millis(t.latency), Place: t.place,
+		Latency: clock.Millis(t.latency), Place: t.place, PlaceAt: t.placeAt,
 	}
 }
 
@@ -97,8 +98,8 @@
 	if d > 0 && r.Completed {
 		t.latency += latencyWeight * (float64(d) - t.latency)
 	}
-	if t.place.Before(r.Point) {
-		t.place = r.Point
+	if r.Point != (position.Point{}) {
+		t.place, t.placeAt = r.Point, now
 	}
 	t.hold(r.Point, now)
 }
--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -11,6 +11,8 @@
 	farCost clock.Millis = 4
 	// behindCost is what a target costs whose last known place lacks the floor, in milliseconds: a vain round trip is likely.
 	behindCost clock.Millis = 40
+	// placeLife is for how long the place where a target was seen tells where it is, in milliseconds.
+	placeLife clock.Millis = 250
 	// leaderPercent is what a read at the primary costs over one at a replica, so that writes find slots there.
 	leaderPercent = 130
 	// failingCost is what a target costs that did not answer last, in milliseconds.
@@ -36,8 +38,9 @@
 	Load int
 	// Latency is the usual time of a statement there.
 	Latency clock.Millis
-	// Place is the last point at which the target was seen.
-	Place position.Point
+	// Place is the last point at which the target was seen, at PlaceAt.
+	Place   position.Point
+	PlaceAt clock.Millis
 }
 
 // Need is what a statement asks of a target.
@@ -90,7 +93,7 @@
 			}
 			continue
 		}
-		if cost := costOf(c, &n); best < 0 || cost < bestCost {
+		if cost := costOf(c, now, &n); best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
@@ -110,7 +113,7 @@
 }
 
 // costOf estimates how long the statement takes at the target, with what its use costs others.
-func costOf(c *Candidate, n *Need) clock.Millis {
+func costOf(c *Candidate, now clock.Millis, n *Need) clock.Millis {
 	slots := clock.Millis(max(c.Slots, 1))
 	cost := c.Latency * (slots + clock.Millis(c.Load)) / slots
 	if c.Leader && !n.PreferLeader && !n.Leader {
@@ -119,7 +122,7 @@
 	if c.DataCentre != n.DataCentre {
 		cost += farCost
 	}
-	if !c.Leader && c.Place.Before(n.Floor) {
+	if !c.Leader && c.Place.Before(n.Floor) && now-c.PlaceAt <= placeLife {
 		cost += behindCost
 	}
 	if n.PreferLeader && !c.Leader {
--- a/internal/request/placement/choose_test.go
+++ b/internal/request/placement/choose_test.go
@@ -32,7 +32,7 @@
 		{"read stays near", []Candidate{far, near}, Need{DataCentre: "a"}, "near", Chosen},
 		{"loaded target gives way", []Candidate{with(near, func(c *Candidate) { c.Load = 8 }), far}, Need{DataCentre: "a"}, "far", Chosen},
 		{"slow target gives way", []Candidate{with(near, func(c *Candidate) { c.Latency = 90 }), far}, Need{DataCentre: "a"}, "far", Chosen},
-		{"target behind the floor gives way", []Candidate{with(near, func(c *Candidate) { c.Place = point(1, 9) }), far}, Need{DataCentre: "a", Floor: point(1, 50)}, "far", Chosen},
+		{"target behind the floor gives way", []Candidate{with(near, func(c *Candidate) { c.Place, c.PlaceAt = point(1, 9), now }), far}, Need{DataCentre: "a", Floor: point(1, 50)}, "far", Chosen},
 		{"strong read prefers the leader", []Candidate{near, leader}, Need{DataCentre: "a", PreferLeader: true}, "leader", Chosen},
 		{"tried target is passed over", []Candidate{near, far}, Need{DataCentre: "a", Tried: []group.TargetID{"near"}}, "far", Chosen},
 		{"all tried", []Candidate{near}, Need{Tried: []group.TargetID{"near"}}, "", AllTried},
