--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -302,7 +302,7 @@
 	var since []clock.Millis
 	v := c.d.view.Load()
 	for id, g := range v.groups {
-		if _, ok := c.configGroup(id); ok {
+		if c.configured(id) {
 			since = append(since, g.outageSince())
 		}
 	}
@@ -316,12 +316,13 @@
 	}
 }
 
-func (c *control) configGroup(id group.ID) (topology.Group, bool) {
+// configured reports whether the configuration in force names the group.
+func (c *control) configured(id group.ID) bool {
 	if c.config == nil {
-		return topology.Group{}, false
+		return false
 	}
-	g, ok := c.config.Groups[id]
-	return g, ok
+	_, ok := c.config.Groups[id]
+	return ok
 }
 
 // elect returns the target with the latest evidence that it leads.
@@ -366,10 +367,7 @@
 
 // watch decides about the group's primary and starts what is to be done.
 func (c *control) watch(ctx context.Context, g *groupState, now clock.Millis) {
-	if g == nil || g.changing {
-		return
-	}
-	if _, ok := c.configGroup(g.id); !ok {
+	if g == nil || g.changing || !c.configured(g.id) {
 		return
 	}
 	list := make([]promotion.Member, 0, len(g.members))
--- /dev/null
+++ b/internal/process/edge/harness_test.go
@@ -0,0 +1,167 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/platform/standin"
+)
+
+// within bounds every wait of these tests.
+const within = 10 * time.Second
+
+type world struct {
+	t     *testing.T
+	store *standin.Store
+	group *standin.Group
+}
+
+// config is the operator's configuration of the given version; drop leaves out the route to "gone".
+func config(version int, drop bool) map[string]any {
+	route := func(host, kind string) map[string]any {
+		return map[string]any{
+			"Name": "r-" + host, "Host": host, "PathPrefix": "/", "Type": kind, "TimeoutMs": 3000, "SloMs": 400,
+			"Priority": 1, "Service": "g", "MaxStalenessMs": 1500,
+		}
+	}
+	routes := []any{route("entries", "primary"), route("lookups", "bounded_staleness"), route("own", "read_your_writes")}
+	if !drop {
+		routes = append(routes, route("gone", "primary"))
+	}
+	return map[string]any{
+		"Version": version, "Routes": routes, "Limits": map[string]any{"TxIdleMs": 3000},
+		"Services": []any{map[string]any{"Name": "g", "MaxConns": 33, "SyncReplicas": 0}},
+	}
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, store: standin.NewStore()}
+	t.Cleanup(w.store.Close)
+	w.store.Set("config", "main", config(3, false))
+	g, err := standin.NewGroup(t.Context(), w.store, "g", 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.group = g
+	t.Cleanup(g.Close)
+	return w
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+type daemon struct {
+	*Daemon
+	t    *testing.T
+	set  *Settings
+	stop context.CancelFunc
+	done chan error
+}
+
+// start runs a daemon and waits until it is ready.
+func (w *world) start(id string) *daemon {
+	w.t.Helper()
+	set := &Settings{
+		Daemon: DaemonSettings{
+			ID: id, DataCentre: "here", CallerAddress: freeAddress(w.t), HealthAddress: freeAddress(w.t),
+			Notice: 50, Drain: 7000, Grace: 4000,
+		},
+		Platform: PlatformSettings{StoreAddress: w.store.Address(), DutyAddress: w.store.Address(), Timeout: 1000, Wait: 300},
+		Limits:   LimitSettings{Memory: 1024, Descriptors: 4096},
+		Failover: FailoverSettings{Refusing: 300, Silent: 700, Missing: 800},
+	}
+	ctx, stop := context.WithCancel(w.t.Context())
+	d := &daemon{Daemon: New("", set, clock.System(), zap.NewNop()), t: w.t, set: set, stop: stop, done: make(chan error, 1)}
+	go func() { d.done <- d.Run(ctx) }()
+	w.t.Cleanup(func() {
+		stop()
+		<-d.done
+	})
+	w.eventually("daemon is ready", func() bool { return d.healthy() })
+	return d
+}
+
+func (d *daemon) healthy() bool {
+	res, err := http.Get("http://" + d.set.Daemon.HealthAddress + "/-/readyz")
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+func (w *world) eventually(what string, f func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	w.t.Fatalf("%s: not within %v", what, within)
+}
+
+// client is one session.
+type client struct {
+	t    *testing.T
+	wire net.Conn
+	in   *bufio.Reader
+	n    int
+}
+
+func (d *daemon) connect(database string) *client {
+	d.t.Helper()
+	wire, err := (&net.Dialer{}).DialContext(d.t.Context(), "tcp", d.set.Daemon.CallerAddress)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() { _ = wire.Close() })
+	c := &client{t: d.t, wire: wire, in: bufio.NewReader(wire)}
+	if got := c.send("STARTUP " + database + " someone"); !strings.HasPrefix(got, "READY I") {
+		d.t.Fatalf("startup: got %q, want ready", got)
+	}
+	return c
+}
+
+// send writes a line and returns the answer up to its end.
+func (c *client) send(line string) string {
+	_ = c.wire.SetDeadline(time.Now().Add(within))
+	if _, err := fmt.Fprintf(c.wire, "%s\r\n", line); err != nil {
+		return "broken"
+	}
+	var all []string
+	for {
+		got, err := c.in.ReadString('\n')
+		if err != nil {
+			return strings.Join(append(all, "broken"), ", ")
+		}
+		all = append(all, strings.TrimSpace(got))
+		if strings.HasPrefix(got, "READY") {
+			return strings.Join(all, ", ")
+		}
+	}
+}
+
+// ask sends one statement and returns what came before the last line, and the state.
+func (c *client) ask(text string) string {
+	c.n++
+	got := c.send(fmt.Sprintf("QUERY q%d %s", c.n, text))
+	i := strings.LastIndex(got, " ")
+	return got[:max(i, 0)]
+}
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -26,6 +26,10 @@
 	maxRest          clock.Millis = 400
 	// firstLatency is the time of a statement at a target that has answered none, in milliseconds.
 	firstLatency = 20.0
+	// leastLatency is the least time that a target is held to take, in milliseconds.
+	leastLatency = 1.0
+	// latencyLife is after how long without an answer the usual time counts half, in milliseconds.
+	latencyLife clock.Millis = 500
 	// latencyWeight is the part of a new time in the usual one.
 	latencyWeight = 0.1
 	// mostUrgent is the weight of work of priority 0.
@@ -70,11 +74,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	leaving := t.leavingSince > 0
+	// A time that nothing has confirmed for long fades, so that a target that was slow is tried again.
+	latency := t.latency / float64(1+max(0, now-t.answered)/latencyLife)
 	return placement.Candidate{
 		ID: m.ID, DataCentre: m.DataCentre, Slots: m.Slots, Leader: leader,
 		Leaving: leaving, Left: leaving && now-t.leavingSince > t.leaveLimit,
 		Failing: t.failingSince > 0, RestUntil: t.restUntil, Load: load.Total(),
-		Latency: clock.Millis(t.latency), Place: t.place, PlaceAt: t.placeAt,
+		Latency: max(leastLatency, latency), Place: t.place, PlaceAt: t.placeAt,
 	}
 }
 
--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -8,15 +8,15 @@
 
 const (
 	// farCost is what a target in another data centre costs over one nearby, in milliseconds: the longer way and the priced bytes.
-	farCost clock.Millis = 4
+	farCost = 4.0
 	// behindCost is what a target costs whose last known place lacks the floor, in milliseconds: a vain round trip is likely.
-	behindCost clock.Millis = 40
+	behindCost = 40.0
 	// placeLife is for how long the place where a target was seen tells where it is, in milliseconds.
 	placeLife clock.Millis = 250
-	// leaderPercent is what a read at the primary costs over one at a replica, so that writes find slots there.
-	leaderPercent = 130
+	// leaderFactor is what a read at the primary costs over one at a replica, so that writes find slots there.
+	leaderFactor = 1.3
 	// failingCost is what a target costs that did not answer last, in milliseconds.
-	failingCost clock.Millis = 2000
+	failingCost = 2000.0
 )
 
 // Candidate is a target as this daemon knows it.
@@ -36,8 +36,8 @@
 	RestUntil clock.Millis
 	// Load is the number of statements of this daemon at work and waiting there.
 	Load int
-	// Latency is the usual time of a statement there.
-	Latency clock.Millis
+	// Latency is the usual time of a statement there, in milliseconds.
+	Latency float64
 	// Place is the last point at which the target was seen, at PlaceAt.
 	Place   position.Point
 	PlaceAt clock.Millis
@@ -75,7 +75,7 @@
 
 // Choose returns the index of the cheapest target that fits, or why there is none.
 func Choose(list []Candidate, now clock.Millis, n Need) (int, Reason) {
-	best, bestCost, why := -1, clock.Millis(0), NoTarget
+	best, bestCost, why := -1, 0.0, NoTarget
 	if n.Leader {
 		why = NoLeader
 	}
@@ -112,12 +112,11 @@
 	return false
 }
 
-// costOf estimates how long the statement takes at the target, with what its use costs others.
-func costOf(c *Candidate, now clock.Millis, n *Need) clock.Millis {
-	slots := clock.Millis(max(c.Slots, 1))
-	cost := c.Latency * (slots + clock.Millis(c.Load)) / slots
+// costOf estimates how long the statement takes at the target in milliseconds, with what its use costs others.
+func costOf(c *Candidate, now clock.Millis, n *Need) float64 {
+	cost := c.Latency * (1 + float64(c.Load)/float64(max(c.Slots, 1)))
 	if c.Leader && !n.PreferLeader && !n.Leader {
-		cost = cost * leaderPercent / 100
+		cost *= leaderFactor
 	}
 	if c.DataCentre != n.DataCentre {
 		cost += farCost
--- a/internal/request/placement/choose_test.go
+++ b/internal/request/placement/choose_test.go
@@ -8,14 +8,15 @@
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
 
-func point(term, number uint64) position.Point {
-	return position.Point{Term: position.Term(term), Position: position.Position(number)}
+// point is one of the first term.
+func point(number uint64) position.Point {
+	return position.Point{Term: 1, Position: position.Position(number)}
 }
 
 func TestChoose(t *testing.T) {
-	leader := Candidate{ID: "leader", DataCentre: "a", Slots: 4, Leader: true, Latency: 20, Place: point(1, 100)}
-	near := Candidate{ID: "near", DataCentre: "a", Slots: 4, Latency: 20, Place: point(1, 100)}
-	far := Candidate{ID: "far", DataCentre: "b", Slots: 4, Latency: 20, Place: point(1, 100)}
+	leader := Candidate{ID: "leader", DataCentre: "a", Slots: 4, Leader: true, Latency: 20, Place: point(100)}
+	near := Candidate{ID: "near", DataCentre: "a", Slots: 4, Latency: 20, Place: point(100)}
+	far := Candidate{ID: "far", DataCentre: "b", Slots: 4, Latency: 20, Place: point(100)}
 	with := func(c Candidate, f func(*Candidate)) Candidate { f(&c); return c }
 	const now clock.Millis = 1000
 	tests := []struct {
@@ -32,7 +33,7 @@
 		{"read stays near", []Candidate{far, near}, Need{DataCentre: "a"}, "near", Chosen},
 		{"loaded target gives way", []Candidate{with(near, func(c *Candidate) { c.Load = 8 }), far}, Need{DataCentre: "a"}, "far", Chosen},
 		{"slow target gives way", []Candidate{with(near, func(c *Candidate) { c.Latency = 90 }), far}, Need{DataCentre: "a"}, "far", Chosen},
-		{"target behind the floor gives way", []Candidate{with(near, func(c *Candidate) { c.Place, c.PlaceAt = point(1, 9), now }), far}, Need{DataCentre: "a", Floor: point(1, 50)}, "far", Chosen},
+		{"target behind the floor gives way", []Candidate{with(near, func(c *Candidate) { c.Place, c.PlaceAt = point(9), now }), far}, Need{DataCentre: "a", Floor: point(50)}, "far", Chosen},
 		{"strong read prefers the leader", []Candidate{near, leader}, Need{DataCentre: "a", PreferLeader: true}, "leader", Chosen},
 		{"tried target is passed over", []Candidate{near, far}, Need{DataCentre: "a", Tried: []group.TargetID{"near"}}, "far", Chosen},
 		{"all tried", []Candidate{near}, Need{Tried: []group.TargetID{"near"}}, "", AllTried},
@@ -57,8 +58,8 @@
 }
 
 func TestSampleCoversOnlyWhatWasAcknowledgedBefore(t *testing.T) {
-	s := Sample{}.Merge(Sample{Point: point(1, 5), AskedAt: 100}).Merge(Sample{Point: point(1, 4), AskedAt: 90})
-	if want := (Sample{Point: point(1, 5), AskedAt: 100}); s != want {
+	s := Sample{}.Merge(Sample{Point: point(5), AskedAt: 100}).Merge(Sample{Point: point(4), AskedAt: 90})
+	if want := (Sample{Point: point(5), AskedAt: 100}); s != want {
 		t.Errorf("got %v, want %v", s, want)
 	}
 	if s.Since(101) || !s.Since(100) {
--- a/internal/request/placement/history.go
+++ b/internal/request/placement/history.go
@@ -3,9 +3,10 @@
 import "github.com/cactusfork/cactusfork/pkg/clock"
 
 const (
-	// historyStep is the least time between two samples that are kept, in milliseconds, and historyLength how many are.
-	historyStep   clock.Millis = 50
-	historyLength              = 128
+	// historyStep is the least time between two samples that are kept, in milliseconds.
+	historyStep clock.Millis = 50
+	// historyLength is how many samples are kept.
+	historyLength = 128
 )
 
 // History keeps recent samples of a group, so that a read gets the lowest floor that is young enough for it, which most replicas hold.
--- a/internal/request/placement/history_test.go
+++ b/internal/request/placement/history_test.go
@@ -10,10 +10,10 @@
 	var h History
 	for i := range 100 {
 		at := clock.Millis(1000 + 10*i)
-		h.Add(Sample{Point: point(1, uint64(i+1)), AskedAt: at})
+		h.Add(Sample{Point: point(uint64(i + 1)), AskedAt: at})
 	}
 	// An answer that came late must not lower what was proven.
-	h.Add(Sample{Point: point(1, 3), AskedAt: 1985})
+	h.Add(Sample{Point: point(3), AskedAt: 1985})
 	tests := []struct {
 		name  string
 		since clock.Millis
@@ -48,8 +48,8 @@
 
 func TestPlaceCountsOnlyWhileItIsRecent(t *testing.T) {
 	leader := Candidate{ID: "leader", DataCentre: "a", Slots: 4, Leader: true, Latency: 20}
-	behind := Candidate{ID: "behind", DataCentre: "a", Slots: 4, Latency: 20, Place: point(1, 9), PlaceAt: 900}
-	need := Need{DataCentre: "a", Floor: point(1, 50)}
+	behind := Candidate{ID: "behind", DataCentre: "a", Slots: 4, Latency: 20, Place: point(9), PlaceAt: 900}
+	need := Need{DataCentre: "a", Floor: point(50)}
 	if i, _ := Choose([]Candidate{leader, behind}, 1000, need); i != 0 {
 		t.Errorf("got %d, want the leader while the replica was just seen behind", i)
 	}
--- a/internal/version/promotion/decide.go
+++ b/internal/version/promotion/decide.go
@@ -85,7 +85,7 @@
 		}
 		return afterLoss(list, now, leader.FailingSince, storeSince, limit, s)
 	}
-	if leader.Draining && storeSince > 0 && successor(list) {
+	if leader.Draining && storeSince > 0 && successor(list, false) {
 		return HandOver
 	}
 	return Nothing
@@ -93,7 +93,7 @@
 
 func afterLoss(list []Member, now, since, storeSince, limit clock.Millis, s Settings) Action {
 	since = max(since, storeSince)
-	if storeSince == 0 || now-since < limit || !successor(list) {
+	if storeSince == 0 || now-since < limit || !successor(list, true) {
 		return Probe
 	}
 	for i := range list {
@@ -115,11 +115,11 @@
 	return nil
 }
 
-// successor reports whether a target other than the leader answers.
-func successor(list []Member) bool {
+// successor reports whether a target other than the leader could follow it; heard asks for one that has answered.
+func successor(list []Member, heard bool) bool {
 	for i := range list {
 		m := &list[i]
-		if !m.Leader && !m.Draining && m.FailingSince == 0 && m.Answered > 0 {
+		if !m.Leader && !m.Draining && m.FailingSince == 0 && (m.Answered > 0 || !heard) {
 			return true
 		}
 	}
--- a/internal/version/promotion/decide_test.go
+++ b/internal/version/promotion/decide_test.go
@@ -37,6 +37,8 @@
 		{"no primary for long", []Member{replica}, now - 800, 1, Replace},
 		{"no primary for a moment", []Member{replica}, now - 700, 1, Probe},
 		{"primary leaves", []Member{with(primary, func(m *Member) { m.Draining = true }), replica}, 0, 1, HandOver},
+		{"primary leaves and the replica was never asked", []Member{with(primary, func(m *Member) { m.Draining = true }), {ID: "r"}}, 0, 1, HandOver},
+		{"primary is silent and the replica was never asked", []Member{silent, {ID: "r"}}, 0, 1, Probe},
 		{"primary leaves without a successor", []Member{with(primary, func(m *Member) { m.Draining = true })}, 0, 1, Nothing},
 		{"what was seen while the store was away counts for nothing", []Member{with(primary, func(m *Member) { m.FailingSince = now - 5000 }), replica}, 0, now - 600, Probe},
 		{"store is away", []Member{silent, replica}, 0, 0, Probe},
