--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 
 	"github.com/urfave/cli/v3"
@@ -37,6 +38,10 @@
 	if err != nil {
 		return &badInput{err: err}
 	}
-	log := newLog(stdout, level).With(zap.String("daemon", set.Daemon.ID))
-	return edge.New(file, set, clock.System(), log).Run(ctx)
+	out := edge.NewLogWriter(stdout)
+	log := newLog(out, level).With(zap.String("daemon", set.Daemon.ID))
+	d := edge.New(file, set, clock.System(), log)
+	d.Gauge("log-lines-dropped", out.Dropped)
+	err = d.Run(ctx)
+	return errors.Join(err, out.Sync())
 }
--- /dev/null
+++ b/internal/process/edge/log_test.go
@@ -0,0 +1,41 @@
+package edge
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+// stuck is a writer that waits until it is let go.
+type stuck struct {
+	free chan struct{}
+	bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.free
+	return s.Buffer.Write(b)
+}
+
+func TestLogNeverWaitsAndIsBounded(t *testing.T) {
+	w := &stuck{free: make(chan struct{})}
+	l := NewLogWriter(w)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	const lines = 2000
+	for range lines {
+		if _, err := l.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(w.free)
+	if err := l.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	written := int64(w.Len() / len(line))
+	if got := written + l.Dropped(); got != lines {
+		t.Errorf("got %d lines written and %d dropped, want %d together", written, l.Dropped(), lines)
+	}
+	if l.Dropped() == 0 || w.Len()%len(line) != 0 {
+		t.Errorf("got %d dropped and %d bytes, want some dropped and whole lines", l.Dropped(), w.Len())
+	}
+}
--- a/internal/process/edge/meter.go
+++ b/internal/process/edge/meter.go
@@ -34,6 +34,11 @@
 	metrics.GetOrRegisterCounter(name, d.meter.registry).Inc(1)
 }
 
+// Gauge shows among the metrics what f returns.
+func (d *Daemon) Gauge(name string, f func() int64) {
+	metrics.NewRegisteredFunctionalGauge(name, d.meter.registry, f)
+}
+
 func (d *Daemon) time(name string, ms int64) {
 	h, ok := d.meter.registry.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewUniformSample(sampleSize))
@@ -76,7 +81,7 @@
 		"store-calls-list":  func() int64 { return int64(calls.Lists.Load()) },
 		"store-calls-watch": func() int64 { return int64(calls.Watches.Load()) },
 	} {
-		metrics.NewRegisteredFunctionalGauge(name, d.meter.registry, n)
+		d.Gauge(name, n)
 	}
 	return store.Counted(s, calls)
 }
