edge: gather scarce connections at home daemons, watch entries for longer

Where a target's connections are fewer than three a daemon, a session goes from its start to one of two daemons of the same data centre that serve the group (rendezvous order), over the wire protocol on the internal port. Daemons name themselves in the store. Watches on entries wait 3 s, on daemons 6 s.

--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -285,6 +285,13 @@
 	p.signal()
 }
 
+// Opened is the number of connections that are open.
+func (p *Pool) Opened() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
 func (p *Pool) signal() {
 	if p.freed != nil {
 		close(p.freed)
--- a/internal/connection/relay/harness_test.go
+++ b/internal/connection/relay/harness_test.go
@@ -170,6 +170,8 @@
 	said     []string
 	outcomes []Outcome
 	lost     []error
+	// homesLost counts the homes that did not answer.
+	homesLost int
 }
 
 func newBench(t *testing.T, consistency topology.Consistency) *bench {
@@ -202,6 +204,8 @@
 		Proven:          func(group.ID, group.TargetID, placement.Sample) {},
 		Answered:        func(group.ID, group.TargetID, *link.Reply, clock.Millis) {},
 		Lost:            func(_ group.ID, _ group.TargetID, _ clock.Millis, err error) { b.lost = append(b.lost, err) },
+		Home:            func(context.Context, group.ID, topology.Database) *Home { return nil },
+		HomeLost:        func(group.DaemonID) { b.homesLost++ },
 		Report:          func(o *Outcome) { b.outcomes = append(b.outcomes, *o) },
 	}, nil)
 	b.session = &session{server: s, wire: b.caller(), database: "db"}
@@ -210,7 +214,13 @@
 
 func (b *bench) caller() Wire {
 	return Wire{
-		Body:     func(body []byte) { b.said = append(b.said, "body "+string(body)) },
+		Body: func(body []byte) {
+			if string(body) == completedHere {
+				b.said = append(b.said, completedHere)
+				return
+			}
+			b.said = append(b.said, "body "+string(body))
+		},
 		Complete: func() { b.said = append(b.said, "complete") },
 		Error:    func(code statement.Code, _ string) { b.said = append(b.said, code.String()) },
 		Ready:    func(s statement.State, _ position.Point) { b.said = append(b.said, "ITE"[s:s+1]) },
@@ -288,3 +298,18 @@
 }
 
 var errCut = errors.New("connection was cut")
+
+// replyWire writes a session's answers into r, as the protocol between daemons does.
+func replyWire(r *link.Reply) Wire {
+	return Wire{
+		Body:     func(body []byte) { r.Completed, r.Body = true, append([]byte(nil), body...) },
+		Complete: func() { r.Completed, r.Body = true, []byte(completedHere) },
+		Error:    func(code statement.Code, text string) { r.Code, r.Text = code, text },
+		Ready:    func(s statement.State, p position.Point) { r.State, r.Point = s, p },
+		Flush:    func(time.Time) error { return nil },
+		Close:    func() error { return nil },
+	}
+}
+
+// completedHere is the body of an answer that no target gave.
+const completedHere = "complete"
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -72,6 +72,10 @@
 	Answered func(g group.ID, t group.TargetID, r *link.Reply, took clock.Millis)
 	// Lost takes the failure of a connection to a target, by something sent at that time.
 	Lost func(g group.ID, t group.TargetID, sent clock.Millis, err error)
+	// Home opens a session at the daemon that serves the group for this one; nil when this daemon serves it.
+	Home func(ctx context.Context, g group.ID, d topology.Database) *Home
+	// HomeLost takes that a home did not answer.
+	HomeLost func(d group.DaemonID)
 	// Report takes the outcome of every statement.
 	Report func(o *Outcome)
 }
@@ -87,6 +91,8 @@
 	Route    *topology.Route
 	Verb     statement.Verb
 	Writes   bool
+	// Home is the daemon that served the statement; empty when it was this one.
+	Home     group.DaemonID
 	Target   group.TargetID
 	Leader   bool
 	Floor    position.Point
--- a/internal/connection/relay/server.go
+++ b/internal/connection/relay/server.go
@@ -39,7 +39,14 @@
 }
 
 // Serve takes callers from l until it is closed; their sessions end with ctx.
-func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+func (s *Server) Serve(ctx context.Context, l net.Listener) error { return s.serve(ctx, l, false) }
+
+// ServeForwarded takes sessions that other daemons forward; they go no further.
+func (s *Server) ServeForwarded(ctx context.Context, l net.Listener) error {
+	return s.serve(ctx, l, true)
+}
+
+func (s *Server) serve(ctx context.Context, l net.Listener, local bool) error {
 	for {
 		wire, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -56,15 +63,15 @@
 		if err != nil {
 			return fmt.Errorf("accept callers: %w", err)
 		}
-		s.start(ctx, wire)
+		s.start(ctx, wire, local)
 	}
 }
 
 // acceptPause is the wait after an accept that failed, in milliseconds.
 const acceptPause clock.Millis = 20
 
-func (s *Server) start(ctx context.Context, wire net.Conn) {
-	c := &session{server: s, wire: s.protocol(wire)}
+func (s *Server) start(ctx context.Context, wire net.Conn, local bool) {
+	c := &session{server: s, wire: s.protocol(wire), local: local}
 	s.mu.Lock()
 	s.last++
 	c.id = s.last
--- a/internal/connection/relay/session.go
+++ b/internal/connection/relay/session.go
@@ -30,6 +30,10 @@
 	values   link.Values
 	prepared map[string]*link.Prepared
 	tx       *transaction
+	// local is true for a session that another daemon has forwarded.
+	local bool
+	// home serves the session in place of this daemon; nil when there is none.
+	home *Home
 	// written is the point of the session's last commit in each group.
 	written map[group.ID]position.Point
 
@@ -96,6 +100,9 @@
 		s.refuseStartup(known)
 		return false
 	}
+	if !s.local {
+		s.home = s.seams().Home(ctx, r.Group, db)
+	}
 	s.wire.Ready(statement.Idle, position.Point{})
 	return s.flush() == nil
 }
@@ -219,6 +226,9 @@
 
 // end gives back what the session holds.
 func (s *session) end() {
+	if s.home != nil {
+		s.leaveHome()
+	}
 	if s.tx != nil {
 		s.release()
 	}
@@ -228,6 +238,7 @@
 // handle answers one statement.
 func (s *session) handle(ctx context.Context, st statement.Statement) {
 	switch {
+	case s.home != nil && s.forward(ctx, &st):
 	case s.tx != nil && s.tx.failed:
 		s.handleFailed(st)
 	case st.Verb == statement.Set, st.Verb == statement.Prepare, st.Verb == statement.Deallocate:
@@ -266,16 +277,21 @@
 			s.fail(statement.TooLarge, "too many prepared statements")
 			return
 		}
-		if s.prepared == nil {
-			s.prepared = make(map[string]*link.Prepared)
-		}
-		s.prepared[st.Name] = link.NewPrepared(st.Shape, st.Writes)
+		s.prepare(&st)
 	default:
 		delete(s.prepared, st.Name)
 	}
 	s.complete()
 }
 
+// prepare notes a statement shape under its name.
+func (s *session) prepare(st *statement.Statement) {
+	if s.prepared == nil {
+		s.prepared = make(map[string]*link.Prepared)
+	}
+	s.prepared[st.Name] = link.NewPrepared(st.Shape, st.Writes)
+}
+
 func (s *session) handleIdle(ctx context.Context, st statement.Statement) {
 	r, _ := s.seams().Route(s.database)
 	if r == nil {
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -60,6 +60,7 @@
 	log       *zap.Logger
 	meter     *meter
 	store     *store.Store
+	calls     store.Calls
 	promote   func(ctx context.Context, g group.ID, t group.TargetID, fence store.Version) error
 	promotion promotion.Settings
 	control   *control
@@ -71,6 +72,9 @@
 	// isolated is true while the daemon is cut off from most primaries.
 	isolated atomic.Bool
 	targets  *net.Dialer
+	// peerDialer opens connections to other daemons.
+	peerDialer *net.Dialer
+	peers      *peers
 
 	claimsMu sync.Mutex
 	claims   map[group.ID]seenClaim
@@ -84,17 +88,15 @@
 			Refusing: set.Failover.Refusing, Silent: set.Failover.Silent, Missing: set.Failover.Missing,
 			Advance: promotion.DefaultSettings().Advance,
 		},
-		samples: newSampler(),
-		targets: socket.Dialer(targetLimits),
-		claims:  make(map[group.ID]seenClaim),
+		samples:    newSampler(),
+		targets:    socket.Dialer(targetLimits),
+		peers:      newPeers(),
+		peerDialer: socket.Dialer(peerLimits),
+		claims:     make(map[group.ID]seenClaim),
 	}
-	cfg := platform.StoreConfig{
-		Address: set.Platform.StoreAddress, Timeout: set.Platform.Timeout, Wait: set.Platform.Wait,
-		Dial: socket.Dialer(storeLimits).DialContext,
-	}
-	d.store = d.counted(platform.DialStore(cfg))
-	cfg.Address = set.Platform.DutyAddress
-	d.promote = platform.Promoter(cfg, d.id)
+	d.countCalls()
+	d.store = d.dialStore(set.Platform.Wait)
+	d.promote = platform.Promoter(d.storeConfig(set.Platform.DutyAddress, 0), d.id)
 	d.control = newControl(d)
 	d.view.Store(&view{})
 	d.server = relay.New(relay.Config{
@@ -105,6 +107,17 @@
 	return d
 }
 
+func (d *Daemon) storeConfig(address string, wait clock.Millis) platform.StoreConfig {
+	return platform.StoreConfig{
+		Address: address, Timeout: d.set.Platform.Timeout, Wait: wait, Dial: socket.Dialer(storeLimits).DialContext,
+	}
+}
+
+// dialStore returns the platform's store with watches that wait so long, and its calls counted.
+func (d *Daemon) dialStore(wait clock.Millis) *store.Store {
+	return store.Counted(platform.DialStore(d.storeConfig(d.set.Platform.StoreAddress, wait)), &d.calls)
+}
+
 func (d *Daemon) seams() relay.Seams {
 	return relay.Seams{
 		Clock:           d.clk,
@@ -115,6 +128,8 @@
 		Proven:          d.proven,
 		Answered:        d.answered,
 		Lost:            d.lost,
+		Home:            d.home,
+		HomeLost:        d.homeLost,
 		Report:          d.report,
 	}
 }
@@ -165,6 +180,11 @@
 	if err != nil {
 		return fmt.Errorf("listen for health checks: %w", err)
 	}
+	if d.set.Daemon.PeerAddress != "" {
+		if err := d.joinPeers(inner); err != nil {
+			return err
+		}
+	}
 	go d.control.run(inner)
 	go d.reloadOnSignal(inner, d.file)
 	go d.followConfig(inner)
@@ -191,10 +211,30 @@
 	return nil
 }
 
+// joinPeers takes sessions from other daemons and tells them how.
+func (d *Daemon) joinPeers(ctx context.Context) error {
+	l, err := socket.ListenConfig(callerLimits).Listen(ctx, "tcp", d.set.Daemon.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for daemons: %w", err)
+	}
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	go func() {
+		if err := d.server.ServeForwarded(ctx, l); err != nil {
+			d.warn("serve daemons", err)
+		}
+	}()
+	go d.register(ctx, false)
+	go d.followPeers(ctx)
+	return nil
+}
+
 // drain fails the health check, and takes no new callers once the balancer has had time to see it.
 func (d *Daemon) drain(ctx context.Context, callers net.Listener) {
 	d.draining.Store(true)
 	d.log.Info("draining", zap.Int("sessions", d.server.Len()))
+	if d.set.Daemon.PeerAddress != "" {
+		go d.register(ctx, true)
+	}
 	_ = d.clk.Sleep(ctx, d.set.Daemon.Notice) // an end of ctx only shortens the notice
 	if err := callers.Close(); err != nil {
 		d.warn("close listener", err)
--- a/internal/process/edge/daemon_test.go
+++ b/internal/process/edge/daemon_test.go
@@ -248,3 +248,34 @@
 		t.Error("daemon does not stop")
 	}
 }
+
+func TestScarceConnectionsAreGatheredAtHomes(t *testing.T) {
+	w := newWorld(t)
+	w.store.Set("config", "main", configOf(20, false, 8))
+	var all []*daemon
+	for i := range 4 {
+		all = append(all, w.start(fmt.Sprint("front-", i)))
+	}
+	for _, d := range all {
+		w.eventually("daemons know each other", func() bool { return len(*d.peers.list.Load()) == len(all) })
+	}
+	homes := 0
+	for _, d := range all {
+		for i := range 3 {
+			c := d.connect("own")
+			item := fmt.Sprintf("%s-%d", d.id, i)
+			if got := c.ask("WRITE " + item + " 1"); !strings.HasPrefix(got, "COMPLETE") {
+				t.Errorf("got %q, want the write served", got)
+			}
+			if got := c.ask("READ " + item); !strings.HasPrefix(got, "DATAROW 1") {
+				t.Errorf("got %q, want the session's write", got)
+			}
+		}
+		if d.view.Load().findTarget("g", "g-0").pool.Opened() > 0 {
+			homes++
+		}
+	}
+	if homes != 1 {
+		t.Errorf("got %d daemons with connections to the primary, want 1", homes)
+	}
+}
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -17,11 +17,16 @@
 	// firstRetry is the wait before the store is asked again after a failure, in milliseconds; it doubles up to lastRetry.
 	firstRetry clock.Millis = 100
 	lastRetry  clock.Millis = 500
+	// entriesWait is how long a watch on the targets' entries waits: a leaving target may be used for far longer, and a new primary shows in its answers.
+	entriesWait = 3 * clock.Second
+	// peersWait is how long a watch on the daemons waits, as one that has gone is met by its silence.
+	peersWait = 6 * clock.Second
 )
 
 // follower reads all objects under a prefix and then their changes.
 type follower struct {
 	d      *Daemon
+	store  *store.Store
 	prefix store.Key
 	// apply takes objects; whole is true when they are all there are.
 	apply func(ctx context.Context, objects []store.Object, whole bool)
@@ -32,7 +37,7 @@
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		objects, from, err := f.d.store.List(ctx, f.prefix)
+		objects, from, err := f.store.List(ctx, f.prefix)
 		if !f.noted(ctx, err) {
 			continue
 		}
@@ -44,7 +49,7 @@
 // watch applies changes until the history that it needs is gone.
 func (f *follower) watch(ctx context.Context, from store.Version) {
 	for ctx.Err() == nil {
-		objects, next, err := f.d.store.Watch(ctx, f.prefix, from)
+		objects, next, err := f.store.Watch(ctx, f.prefix, from)
 		if errors.Is(err, store.ErrHistoryGone) {
 			f.d.log.Info("history is gone", zap.String("prefix", string(f.prefix)), zap.Uint64("from", uint64(from)))
 			return
@@ -93,7 +98,7 @@
 }
 
 func (d *Daemon) followConfig(ctx context.Context) {
-	f := follower{d: d, prefix: platform.ConfigPrefix, apply: d.applyConfig}
+	f := follower{d: d, store: d.dialStore(d.set.Platform.Wait), prefix: platform.ConfigPrefix, apply: d.applyConfig}
 	f.run(ctx)
 }
 
@@ -112,7 +117,7 @@
 }
 
 func (d *Daemon) followTargets(ctx context.Context) {
-	f := follower{d: d, prefix: platform.TargetsPrefix, apply: d.applyTargets}
+	f := follower{d: d, store: d.dialStore(max(entriesWait, d.set.Platform.Wait)), prefix: platform.TargetsPrefix, apply: d.applyTargets}
 	f.run(ctx)
 }
 
--- a/internal/process/edge/harness_test.go
+++ b/internal/process/edge/harness_test.go
@@ -26,7 +26,9 @@
 }
 
 // config is the operator's configuration of the given version; drop leaves out the route to "gone".
-func config(version int, drop bool) map[string]any {
+func config(version int, drop bool) map[string]any { return configOf(version, drop, 33) }
+
+func configOf(version int, drop bool, connections int) map[string]any {
 	route := func(host, kind string) map[string]any {
 		return map[string]any{
 			"Name": "r-" + host, "Host": host, "PathPrefix": "/", "Type": kind, "TimeoutMs": 3000, "SloMs": 400,
@@ -39,7 +41,7 @@
 	}
 	return map[string]any{
 		"Version": version, "Routes": routes, "Limits": map[string]any{"TxIdleMs": 3000},
-		"Services": []any{map[string]any{"Name": "g", "MaxConns": 33, "SyncReplicas": 0}},
+		"Services": []any{map[string]any{"Name": "g", "MaxConns": connections, "SyncReplicas": 0}},
 	}
 }
 
@@ -80,7 +82,7 @@
 	w.t.Helper()
 	set := &Settings{
 		Daemon: DaemonSettings{
-			ID: id, DataCentre: "here", CallerAddress: freeAddress(w.t), HealthAddress: freeAddress(w.t),
+			ID: id, DataCentre: "here", CallerAddress: freeAddress(w.t), HealthAddress: freeAddress(w.t), PeerAddress: freeAddress(w.t),
 			Notice: 50, Drain: 7000, Grace: 4000,
 		},
 		Platform: PlatformSettings{StoreAddress: w.store.Address(), DutyAddress: w.store.Address(), Timeout: 1000, Wait: 300},
--- a/internal/process/edge/meter.go
+++ b/internal/process/edge/meter.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusfork/cactusfork/internal/connection/relay"
-	store "github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 )
@@ -66,15 +65,15 @@
 			route = o.Route.Name
 		}
 		e.Write(zap.Uint64("session", uint64(o.Session)), zap.String("request", string(o.ID)), zap.String("database", string(o.Database)), zap.String("route", route),
-			zap.Int("verb", int(o.Verb)), zap.Bool("writes", o.Writes), zap.String("target", string(o.Target)), zap.Bool("primary", o.Leader),
+			zap.Int("verb", int(o.Verb)), zap.Bool("writes", o.Writes), zap.String("home", string(o.Home)), zap.String("target", string(o.Target)), zap.Bool("primary", o.Leader),
 			zap.Stringer("floor", o.Floor), zap.Int("attempts", o.Attempts), zap.String("cause", o.Cause),
 			zap.Stringer("outcome", o.Code), zap.Int64("arrived", int64(o.Arrived)), zap.Int64("took-ms", int64(took)))
 	}
 }
 
-// counted returns the store with its calls counted.
-func (d *Daemon) counted(s *store.Store) *store.Store {
-	calls := &store.Calls{}
+// countCalls shows the calls to the store among the metrics.
+func (d *Daemon) countCalls() {
+	calls := &d.calls
 	for name, n := range map[string]func() int64{
 		"store-calls-get":   func() int64 { return int64(calls.Gets.Load()) },
 		"store-calls-put":   func() int64 { return int64(calls.Puts.Load()) },
@@ -83,7 +82,6 @@
 	} {
 		d.Gauge(name, n)
 	}
-	return store.Counted(s, calls)
 }
 
 func (d *Daemon) warn(what string, err error) {
--- /dev/null
+++ b/internal/process/edge/peers.go
@@ -0,0 +1,179 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusfork/cactusfork/internal/connection/relay"
+	"github.com/cactusfork/cactusfork/internal/connection/socket"
+	store "github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/internal/request/placement"
+	"github.com/cactusfork/cactusfork/internal/request/statement"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/platform"
+)
+
+const (
+	// peerPrefix is where daemons say how others reach them.
+	peerPrefix store.Key = "cactusfork-daemons/"
+	// peerRest is how long a daemon that did not answer is passed over.
+	peerRest = 5 * clock.Second
+	// homeStartup bounds the startup of a session at another daemon, in milliseconds.
+	homeStartup clock.Millis = 400
+	// registerPause is the wait before the store is asked again to take the daemon's own entry, in milliseconds.
+	registerPause clock.Millis = 500
+)
+
+// peerLimits say when a silent daemon is given up.
+var peerLimits = socket.Limits{Connect: 200, Unacknowledged: 700, KeepAlive: 1000}
+
+// peerEntry is what a daemon says of itself in the store.
+type peerEntry struct {
+	Address    string           `json:"address"`
+	DataCentre group.DataCentre `json:"data-centre"`
+	Leaving    bool             `json:"leaving"`
+}
+
+// peers are the daemons that the store names; follow writes them and sessions read them.
+type peers struct {
+	list atomic.Pointer[[]placement.Peer]
+
+	mu sync.Mutex
+	// restUntil is until when a daemon is passed over.
+	restUntil map[group.DaemonID]clock.Millis
+}
+
+func newPeers() *peers {
+	p := &peers{restUntil: make(map[group.DaemonID]clock.Millis)}
+	p.list.Store(&[]placement.Peer{})
+	return p
+}
+
+// rests reports whether the daemon is passed over now.
+func (p *peers) rests(id group.DaemonID, now clock.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now < p.restUntil[id]
+}
+
+func (p *peers) rest(id group.DaemonID, until clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.restUntil[id] = until
+}
+
+// followPeers keeps the list of daemons up to date.
+func (d *Daemon) followPeers(ctx context.Context) {
+	entries := make(map[group.DaemonID]peerEntry)
+	f := follower{d: d, store: d.dialStore(max(peersWait, d.set.Platform.Wait)), prefix: peerPrefix, apply: func(_ context.Context, objects []store.Object, whole bool) {
+		if whole {
+			clear(entries)
+		}
+		for _, o := range objects {
+			id := group.DaemonID(o.Key[len(peerPrefix):])
+			var e peerEntry
+			if err := json.Unmarshal(o.Value, &e); err != nil || o.Deleted || e.Leaving || e.Address == "" {
+				delete(entries, id)
+				continue
+			}
+			entries[id] = e
+		}
+		list := make([]placement.Peer, 0, len(entries))
+		for id, e := range entries {
+			list = append(list, placement.Peer{ID: id, DataCentre: e.DataCentre, Address: e.Address})
+		}
+		d.peers.list.Store(&list)
+		d.log.Info("daemons known", zap.Int("count", len(list)))
+	}}
+	f.run(ctx)
+}
+
+// register writes the daemon's own entry until the store has taken it.
+func (d *Daemon) register(ctx context.Context, leaving bool) {
+	value, err := json.Marshal(peerEntry{
+		Address: d.set.Daemon.PeerAddress, DataCentre: group.DataCentre(d.set.Daemon.DataCentre), Leaving: leaving,
+	})
+	if err != nil {
+		d.warn("encode own entry", err)
+		return
+	}
+	key := peerPrefix + store.Key(d.id)
+	for ctx.Err() == nil {
+		err := d.put(ctx, key, value)
+		if err == nil {
+			return
+		}
+		d.warn("write own entry", err)
+		if d.clk.Sleep(ctx, registerPause+clock.Millis(rand.Int64N(int64(registerPause)))) != nil {
+			return
+		}
+	}
+}
+
+// put writes value over whatever is there.
+func (d *Daemon) put(ctx context.Context, key store.Key, value []byte) error {
+	o, err := d.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	_, err = d.store.Put(ctx, key, value, o.Version)
+	return err
+}
+
+// home opens a session at a daemon that serves the group for this one; nil when this daemon is to serve it.
+func (d *Daemon) home(ctx context.Context, g group.ID, db topology.Database) *relay.Home {
+	v := d.view.Load()
+	if v.config == nil || d.set.Daemon.PeerAddress == "" {
+		return nil
+	}
+	homes := placement.Homes(g, *d.peers.list.Load(), group.DataCentre(d.set.Daemon.DataCentre), v.config.Groups[g].Connections)
+	for _, p := range homes {
+		if p.ID == d.id {
+			return nil
+		}
+	}
+	for _, i := range rand.Perm(len(homes)) {
+		p := homes[i]
+		if d.peers.rests(p.ID, d.clk.Now()) {
+			continue
+		}
+		h, err := d.openHome(ctx, &p, db)
+		if err == nil {
+			return h
+		}
+		d.log.Warn("home does not answer", zap.String("home", string(p.ID)), zap.String("group", string(g)), zap.Error(err))
+		d.homeLost(p.ID)
+	}
+	return nil
+}
+
+func (d *Daemon) openHome(ctx context.Context, p *placement.Peer, db topology.Database) (*relay.Home, error) {
+	tcp, err := d.peerDialer.DialContext(ctx, "tcp", p.Address)
+	if err != nil {
+		return nil, err
+	}
+	w := platform.NewTarget(tcp)
+	r, err := w.Startup(group.ID(db), "", d.clk.Deadline(d.clk.Now()+homeStartup))
+	if err == nil && r.Code != statement.OK {
+		err = &statement.Refusal{Code: r.Code, Text: r.Text}
+	}
+	if err != nil {
+		_ = tcp.Close() // nothing is owed on it
+		return nil, err
+	}
+	return &relay.Home{ID: p.ID, Wire: w, TCP: tcp}, nil
+}
+
+// homeLost passes a daemon over for a while.
+func (d *Daemon) homeLost(id group.DaemonID) {
+	d.count("homes-lost")
+	d.peers.rest(id, d.clk.Now()+peerRest)
+}
--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -23,6 +23,7 @@
 	DataCentre     string `ini:"data-centre" need:"yes"`
 	CallerAddress  string `ini:"caller-address" need:"yes" kind:"address"`
 	HealthAddress  string `ini:"health-address" need:"yes" kind:"address"`
+	PeerAddress    string `ini:"peer-address" kind:"address"`
 	MetricsAddress string `ini:"metrics-address" kind:"address"`
 	// Notice is how long a stopping daemon still takes callers while its health check fails.
 	Notice clock.Millis `ini:"notice" default:"2200ms" min:"0s" max:"1m"`
@@ -38,7 +39,7 @@
 	DutyAddress  string       `ini:"duty-address" need:"yes" kind:"address"`
 	Timeout      clock.Millis `ini:"timeout" default:"1500ms" min:"10ms" max:"1m"`
 	// Wait is how long a watch waits at the store.
-	Wait clock.Millis `ini:"wait" default:"1500ms" min:"100ms" max:"30s"`
+	Wait clock.Millis `ini:"wait" default:"2s" min:"100ms" max:"30s"`
 }
 
 // LimitSettings say what the VM gives.
--- /dev/null
+++ b/internal/request/placement/home.go
@@ -0,0 +1,49 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cactusfork/cactusfork/internal/version/group"
+)
+
+const (
+	// directConnections is how many connections to each target a daemon must be able to have to serve a group itself.
+	directConnections = 3
+	// homeConnections is how many connections to each target a home of a group is to have.
+	homeConnections = 6
+	// mostHomes is how many homes a group has in each data centre at most: fewer homes order their work better, and two bear the loss of one.
+	mostHomes = 2
+)
+
+// Peer is another daemon, or this one, as the store names it.
+type Peer struct {
+	ID         group.DaemonID
+	DataCentre group.DataCentre
+	Address    string
+}
+
+// Homes returns the daemons of a data centre that serve a group for all others there, best first; none when every daemon can have connections of its own.
+func Homes(g group.ID, peers []Peer, here group.DataCentre, connections int) []Peer {
+	if connections <= 0 || connections >= directConnections*len(peers) {
+		return nil
+	}
+	centres := make(map[group.DataCentre]bool)
+	var near []Peer
+	for _, p := range peers {
+		centres[p.DataCentre] = true
+		if p.DataCentre == here {
+			near = append(near, p)
+		}
+	}
+	slices.SortFunc(near, func(a, b Peer) int { return cmp.Compare(rank(g, b.ID), rank(g, a.ID)) })
+	n := min(max(1, connections/homeConnections/len(centres)), mostHomes, len(near))
+	return near[:n]
+}
+
+// rank orders the daemons differently for each group, and alike on all daemons.
+func rank(g group.ID, d group.DaemonID) uint64 {
+	return xxhash.Sum64String(string(g) + "\x00" + string(d))
+}
--- /dev/null
+++ b/internal/request/placement/home_test.go
@@ -0,0 +1,66 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cactusfork/cactusfork/internal/version/group"
+)
+
+// fleet is a number of daemons in each of the data centres.
+func fleet(centres, each int) []Peer {
+	var all []Peer
+	for c := range centres {
+		for i := range each {
+			all = append(all, Peer{ID: group.DaemonID(fmt.Sprintf("d-%d-%d", c, i)), DataCentre: group.DataCentre(fmt.Sprint("c", c))})
+		}
+	}
+	return all
+}
+
+func TestHomesOnlyWhereConnectionsAreScarce(t *testing.T) {
+	tests := []struct {
+		name        string
+		peers       []Peer
+		connections int
+		want        int
+	}{
+		{"few daemons serve themselves", fleet(4, 2), 33, 0},
+		{"many daemons gather", fleet(4, 16), 49, 2},
+		{"many connections, more daemons", fleet(5, 14), 156, 2},
+		{"hardly any connections", fleet(4, 16), 10, 1},
+		{"no limit", fleet(4, 16), 0, 0},
+	}
+	for _, tt := range tests {
+		if got := len(Homes("g", tt.peers, "c0", tt.connections)); got != tt.want {
+			t.Errorf("%s: got %d homes, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestHomesSpreadAndMoveLittle(t *testing.T) {
+	peers := fleet(4, 16)
+	load := make(map[group.DaemonID]int)
+	moved := 0
+	const groups = 200
+	for i := range groups {
+		g := group.ID(fmt.Sprint("g", i))
+		homes := Homes(g, peers, "c0", 49)
+		for _, h := range homes {
+			if h.DataCentre != "c0" {
+				t.Fatalf("got home %v, want one in the data centre", h)
+			}
+			load[h.ID]++
+		}
+		if Homes(g, peers[1:], "c0", 49)[0].ID != homes[0].ID {
+			moved++
+		}
+	}
+	if len(load) != 16 {
+		t.Errorf("got %d daemons with work, want 16", len(load))
+	}
+	// Only what was at the daemon that left may move: one in 16 of the first homes.
+	if moved > groups/8 {
+		t.Errorf("got %d of %d groups moved, want few", moved, groups)
+	}
+}
