--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -95,7 +95,7 @@
 		claims:     make(map[group.ID]seenClaim),
 	}
 	d.countCalls()
-	d.store = d.dialStore(set.Platform.Wait)
+	d.store = d.dialStore(set.Platform.Wait, false)
 	d.promote = platform.Promoter(d.storeConfig(set.Platform.DutyAddress, 0), d.id)
 	d.control = newControl(d)
 	d.view.Store(&view{})
@@ -113,9 +113,11 @@
 	}
 }
 
-// dialStore returns the platform's store with watches that wait so long, and its calls counted.
-func (d *Daemon) dialStore(wait clock.Millis) *store.Store {
-	return store.Counted(platform.DialStore(d.storeConfig(d.set.Platform.StoreAddress, wait)), &d.calls)
+// dialStore returns the platform's store with watches that wait so long and lists that may be stale, and its calls counted.
+func (d *Daemon) dialStore(wait clock.Millis, stale bool) *store.Store {
+	cfg := d.storeConfig(d.set.Platform.StoreAddress, wait)
+	cfg.Stale = stale
+	return store.Counted(platform.DialStore(cfg), &d.calls)
 }
 
 func (d *Daemon) seams() relay.Seams {
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -19,8 +19,9 @@
 	lastRetry  clock.Millis = 500
 	// entriesWait is how long a watch on the targets' entries waits: a leaving target may be used for far longer, and a new primary shows in its answers.
 	entriesWait = 3 * clock.Second
-	// peersWait is how long a watch on the daemons waits, as one that has gone is met by its silence.
-	peersWait = 6 * clock.Second
+	// configPause and entriesPause are the waits behind changes, in milliseconds, so that several come with one call.
+	configPause  clock.Millis = 150
+	entriesPause clock.Millis = 100
 )
 
 // follower reads all objects under a prefix and then their changes.
@@ -28,6 +29,8 @@
 	d      *Daemon
 	store  *store.Store
 	prefix store.Key
+	// pause is the wait behind changes.
+	pause clock.Millis
 	// apply takes objects; whole is true when they are all there are.
 	apply func(ctx context.Context, objects []store.Object, whole bool)
 	up    bool
@@ -57,10 +60,12 @@
 		if !f.noted(ctx, err) {
 			continue
 		}
-		if len(objects) > 0 {
-			f.apply(ctx, objects, false)
-		}
 		from = next
+		if len(objects) == 0 {
+			continue
+		}
+		f.apply(ctx, objects, false)
+		_ = f.d.clk.Sleep(ctx, f.pause) // the end of ctx is seen by the loop
 	}
 }
 
@@ -98,7 +103,7 @@
 }
 
 func (d *Daemon) followConfig(ctx context.Context) {
-	f := follower{d: d, store: d.dialStore(d.set.Platform.Wait), prefix: platform.ConfigPrefix, apply: d.applyConfig}
+	f := follower{d: d, store: d.dialStore(d.set.Platform.Wait, false), prefix: platform.ConfigPrefix, pause: configPause, apply: d.applyConfig}
 	f.run(ctx)
 }
 
@@ -117,7 +122,7 @@
 }
 
 func (d *Daemon) followTargets(ctx context.Context) {
-	f := follower{d: d, store: d.dialStore(max(entriesWait, d.set.Platform.Wait)), prefix: platform.TargetsPrefix, apply: d.applyTargets}
+	f := follower{d: d, store: d.dialStore(max(entriesWait, d.set.Platform.Wait), false), prefix: platform.TargetsPrefix, pause: entriesPause, apply: d.applyTargets}
 	f.run(ctx)
 }
 
--- a/internal/process/edge/peers.go
+++ b/internal/process/edge/peers.go
@@ -24,6 +24,9 @@
 const (
 	// peerPrefix is where daemons say how others reach them.
 	peerPrefix store.Key = "cactusfork-daemons/"
+	// firstPeers is the wait before the first list of daemons, and peersEvery the time between two lists.
+	firstPeers = 2 * clock.Second
+	peersEvery = 4 * clock.Second
 	// peerRest is how long a daemon that did not answer is passed over.
 	peerRest = 5 * clock.Second
 	// homeStartup bounds the startup of a session at another daemon, in milliseconds.
@@ -70,30 +73,40 @@
 	p.restUntil[id] = until
 }
 
-// followPeers keeps the list of daemons up to date.
+// followPeers reads the list of daemons again and again; a list that is seconds old is good enough, as a daemon that has gone is met by its silence.
 func (d *Daemon) followPeers(ctx context.Context) {
-	entries := make(map[group.DaemonID]peerEntry)
-	f := follower{d: d, store: d.dialStore(max(peersWait, d.set.Platform.Wait)), prefix: peerPrefix, apply: func(_ context.Context, objects []store.Object, whole bool) {
-		if whole {
-			clear(entries)
+	list := d.dialStore(0, true)
+	known := -1
+	// The first list waits until daemons that start together have written their entries.
+	for wait := firstPeers; d.clk.Sleep(ctx, wait) == nil; wait = peersEvery {
+		objects, _, err := list.List(ctx, peerPrefix)
+		if err != nil {
+			d.warn("list daemons", err)
+			continue
 		}
-		for _, o := range objects {
-			id := group.DaemonID(o.Key[len(peerPrefix):])
-			var e peerEntry
-			if err := json.Unmarshal(o.Value, &e); err != nil || o.Deleted || e.Leaving || e.Address == "" {
-				delete(entries, id)
-				continue
-			}
-			entries[id] = e
+		all := d.parsePeers(objects)
+		d.peers.list.Store(&all)
+		if len(all) != known {
+			known = len(all)
+			d.log.Info("daemons known", zap.Int("count", known))
 		}
-		list := make([]placement.Peer, 0, len(entries))
-		for id, e := range entries {
-			list = append(list, placement.Peer{ID: id, DataCentre: e.DataCentre, Address: e.Address})
+	}
+}
+
+// parsePeers returns the daemons that take sessions; an entry that cannot be read names none.
+func (d *Daemon) parsePeers(objects []store.Object) []placement.Peer {
+	list := make([]placement.Peer, 0, len(objects))
+	for _, o := range objects {
+		var e peerEntry
+		if err := json.Unmarshal(o.Value, &e); err != nil {
+			d.warn("entry of a daemon", err)
+			continue
+		}
+		if !e.Leaving && e.Address != "" {
+			list = append(list, placement.Peer{ID: group.DaemonID(o.Key[len(peerPrefix):]), DataCentre: e.DataCentre, Address: e.Address})
 		}
-		d.peers.list.Store(&list)
-		d.log.Info("daemons known", zap.Int("count", len(list)))
-	}}
-	f.run(ctx)
+	}
+	return list
 }
 
 // register writes the daemon's own entry until the store has taken it.
--- a/internal/request/placement/choose_test.go
+++ b/internal/request/placement/choose_test.go
@@ -81,6 +81,7 @@
 		{"one group has none", []clock.Millis{1_000, 0, 0}, false},
 		{"most groups have none", []clock.Millis{1_000, 1_000, 0}, true},
 		{"most groups have just lost theirs", []clock.Millis{9_500, 9_500, 0}, false},
+		{"most groups have lost theirs for a while", []clock.Millis{9_300, 9_300, 0}, true},
 	}
 	for _, tt := range tests {
 		if got := Isolated(tt.since, 10_000); got != tt.want {
--- a/internal/request/placement/outage.go
+++ b/internal/request/placement/outage.go
@@ -6,7 +6,7 @@
 const outageLimit = 2 * clock.Second
 
 // isolationLimit is how long most groups must be without a primary before this daemon is held to be cut off, in milliseconds.
-const isolationLimit = clock.Second
+const isolationLimit clock.Millis = 600
 
 // Isolated reports whether a daemon that sees these groups without a primary since then (0: with one) had better leave its callers to other daemons.
 func Isolated(since []clock.Millis, now clock.Millis) bool {
