relay, link: do not turn overload into failure

Startups that waited for a slot ran into their time-out, so the target counted as failing, its connections were purged and opened anew at 27 ms of a slot each; reads that were slow were sent a second time; ten homes had up to 30 statements at a target of three slots.

Change: a startup without an answer on an open connection means full; second attempts draw on the retry budget, a tenth of the reads; homes share four times the target's slots; the first list of daemons is read at once, and sessions wait for it for 1 s; daemons take turns before a change of primary (30 ms each).

--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 
@@ -195,8 +196,8 @@
 	}
 	_ = tcp.Close() // nothing is owed on it
 	switch {
-	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF):
-		// A target over its limit may reset what it has just accepted.
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF), errors.Is(err, os.ErrDeadlineExceeded):
+		// A target over its limit may reset what it has just accepted; one that is busy lets a startup wait for a slot.
 		return nil, fmt.Errorf("%w: startup: %w", ErrFull, err)
 	case err != nil:
 		return nil, fmt.Errorf("%w: startup: %w", ErrUnreachable, err)
--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -186,7 +186,12 @@
 		floor = position.Point{}
 	}
 	asked := n.s.now()
+	n.s.server.hedges.Fresh()
 	reply, err := l.Conn.Run(n.patience(), l.Conn.Setup(&n.s.values, n.prepared), n.command(floor))
+	if n.mayWait(err) && !n.s.server.hedges.Take(n.s.now()) {
+		// A second attempt would add to the load that makes the first one slow.
+		reply, err = l.Conn.ReceiveLast(n.until)
+	}
 	if err != nil {
 		return n.lost(l, err)
 	}
@@ -262,6 +267,12 @@
 // slowMargin is added to half of the objective before a read is tried elsewhere, in milliseconds.
 const slowMargin clock.Millis = 100
 
+// mayWait reports whether an answer that has not come yet can still be waited for.
+func (n *run) mayWait(err error) bool {
+	var late net.Error
+	return errors.As(err, &late) && late.Timeout() && !n.writes && n.s.now() < n.until
+}
+
 // lost settles an attempt whose answer did not come.
 func (n *run) lost(l *Lease, err error) step {
 	n.outcome.Cause = err.Error()
--- a/internal/connection/relay/server.go
+++ b/internal/connection/relay/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 
+	"github.com/cactusfork/cactusfork/internal/request/retry"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
@@ -25,6 +26,8 @@
 	cfg      Config
 	seams    Seams
 	protocol func(net.Conn) Wire
+	// hedges bounds the reads that are tried elsewhere while their first attempt goes on.
+	hedges *retry.Budget
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
@@ -35,7 +38,7 @@
 
 // New returns a server that speaks protocol with its callers.
 func New(cfg Config, seams Seams, protocol func(net.Conn) Wire) *Server {
-	return &Server{cfg: cfg, seams: seams, protocol: protocol, sessions: make(map[*session]struct{})}
+	return &Server{cfg: cfg, seams: seams, protocol: protocol, hedges: retry.NewBudget(seams.Clock.Now()), sessions: make(map[*session]struct{})}
 }
 
 // Serve takes callers from l until it is closed; their sessions end with ctx.
--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -69,6 +69,8 @@
 	*target
 	// ledAt is when the target last showed, or first said, that it is the primary; 0 when it did not.
 	ledAt clock.Millis
+	// window is how many statements this daemon may have at work there.
+	window int
 	// lapsedAt is when the entry went; 0 while it is there.
 	lapsedAt clock.Millis
 }
@@ -83,6 +85,8 @@
 	changing   bool
 	pauseUntil clock.Millis
 	action     promotion.Action
+	// actAt is when this daemon acts, so that of many one comes first.
+	actAt clock.Millis
 }
 
 // control owns the control state; one goroutine runs it.
@@ -247,9 +251,6 @@
 	case !e.Primary && was.Primary:
 		old.ledAt = 0
 	}
-	if was.Slots != e.Slots {
-		old.gate.SetSlots(e.Slots)
-	}
 	if was.Primary != e.Primary || was.Draining != e.Draining {
 		c.logEntry("target changed", e)
 	}
@@ -295,6 +296,33 @@
 		c.watch(ctx, g, now)
 	}
 	c.isolate(now)
+	c.share()
+}
+
+// share bounds what this daemon has at work at each target where a group has few homes.
+func (c *control) share() {
+	if c.config == nil {
+		return
+	}
+	peers := *c.d.peers.list.Load()
+	here := group.DataCentre(c.d.set.Daemon.DataCentre)
+	centres := make(map[group.DataCentre]bool)
+	for _, p := range peers {
+		centres[p.DataCentre] = true
+	}
+	for id, g := range c.groups {
+		homes := len(placement.Homes(id, peers, here, c.config.Groups[id].Connections)) * len(centres)
+		for _, t := range g.members {
+			window := t.meta.Load().Slots
+			if homes > 0 {
+				window = placement.Window(window, homes)
+			}
+			if t.window != window {
+				t.window = window
+				t.gate.SetSlots(window)
+			}
+		}
+	}
 }
 
 // isolate leaves the callers to other daemons while this one is cut off from the primaries.
@@ -365,6 +393,11 @@
 	c.d.view.Store(v)
 }
 
+// turn is how long this daemon lets others act on a group first.
+func (c *control) turn(g group.ID) clock.Millis {
+	return promotion.Turn(c.d.id, g, len(*c.d.peers.list.Load()))
+}
+
 // watch decides about the group's primary and starts what is to be done.
 func (c *control) watch(ctx context.Context, g *groupState, now clock.Millis) {
 	if g == nil || g.changing || !c.configured(g.id) {
@@ -377,7 +410,7 @@
 	action := promotion.Decide(list, now, g.leaderless, c.storeSince, c.d.promotion)
 	if action != g.action {
 		c.d.log.Info("judged", zap.String("group", string(g.id)), zap.Stringer("action", action), zap.String("primary", string(g.leader)), zap.Any("targets", list))
-		g.action = action
+		g.action, g.actAt = action, now+c.turn(g.id)
 	}
 	gv := c.d.view.Load().groups[g.id]
 	switch action {
@@ -387,7 +420,7 @@
 			go c.d.probe(ctx, gv)
 		}
 	case promotion.Replace, promotion.HandOver:
-		if now >= g.pauseUntil && gv != nil {
+		if now >= max(g.pauseUntil, g.actAt) && gv != nil {
 			g.changing = true
 			go c.d.change(ctx, gv, action)
 		}
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -76,6 +76,9 @@
 	peerDialer *net.Dialer
 	peers      *peers
 
+	// startedAt is when Run began.
+	startedAt clock.Millis
+
 	claimsMu sync.Mutex
 	claims   map[group.ID]seenClaim
 }
@@ -172,6 +175,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(d.set.Limits.Memory) * mebibyte * memoryPercent / 100)
 	debug.SetGCPercent(garbagePercent)
+	d.startedAt = d.clk.Now()
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	callers, err := socket.ListenConfig(callerLimits).Listen(inner, "tcp", d.set.Daemon.CallerAddress)
--- a/internal/process/edge/peers.go
+++ b/internal/process/edge/peers.go
@@ -24,9 +24,11 @@
 const (
 	// peerPrefix is where daemons say how others reach them.
 	peerPrefix store.Key = "cactusfork-daemons/"
-	// firstPeers is the wait before the first list of daemons, and peersEvery the time between two lists.
-	firstPeers = 2 * clock.Second
-	peersEvery = 4 * clock.Second
+	// secondPeers is the wait before the second list of daemons, by when those that start together have written their entries, and peersEvery that between later ones.
+	secondPeers = 2 * clock.Second
+	peersEvery  = 4 * clock.Second
+	// peersWait bounds the wait of sessions for the first list, from the daemon's start on.
+	peersWait = clock.Second
 	// peerRest is how long a daemon that did not answer is passed over.
 	peerRest = 5 * clock.Second
 	// homeStartup bounds the startup of a session at another daemon, in milliseconds.
@@ -48,6 +50,8 @@
 // peers are the daemons that the store names; follow writes them and sessions read them.
 type peers struct {
 	list atomic.Pointer[[]placement.Peer]
+	// known is true once the list was read.
+	known atomic.Bool
 
 	mu sync.Mutex
 	// restUntil is until when a daemon is passed over.
@@ -77,13 +81,18 @@
 func (d *Daemon) followPeers(ctx context.Context) {
 	list := d.dialStore(0, true)
 	known := -1
-	// The first list waits until daemons that start together have written their entries.
-	for wait := firstPeers; d.clk.Sleep(ctx, wait) == nil; wait = peersEvery {
+	// The first list has those that ran before a restart of all.
+	for wait := clock.Millis(0); d.clk.Sleep(ctx, wait) == nil; {
 		objects, _, err := list.List(ctx, peerPrefix)
 		if err != nil {
 			d.warn("list daemons", err)
+			wait = registerPause
 			continue
 		}
+		wait = peersEvery
+		if d.peers.known.CompareAndSwap(false, true) {
+			wait = secondPeers
+		}
 		all := d.parsePeers(objects)
 		d.peers.list.Store(&all)
 		if len(all) != known {
@@ -147,6 +156,11 @@
 	if v.config == nil || d.set.Daemon.PeerAddress == "" {
 		return nil
 	}
+	for !d.peers.known.Load() && d.clk.Now() < d.startedAt+peersWait {
+		if d.clk.Sleep(ctx, choosePause) != nil {
+			return nil
+		}
+	}
 	homes := placement.Homes(g, *d.peers.list.Load(), group.DataCentre(d.set.Daemon.DataCentre), v.config.Groups[g].Connections)
 	for _, p := range homes {
 		if p.ID == d.id {
--- a/internal/request/placement/home.go
+++ b/internal/request/placement/home.go
@@ -43,6 +43,12 @@
 	return near[:n]
 }
 
+// backlog is how many times its slots a target is to have at work and waiting from all homes together: enough to be busy, few enough that urgent work need not wait long.
+const backlog = 4
+
+// Window is how many statements a home may have at work at a target with so many slots.
+func Window(slots, homes int) int { return max(1, (backlog*slots+homes-1)/max(homes, 1)) }
+
 // rank orders the daemons differently for each group, and alike on all daemons.
 func rank(g group.ID, d group.DaemonID) uint64 {
 	return xxhash.Sum64String(string(g) + "\x00" + string(d))
--- a/internal/request/placement/home_test.go
+++ b/internal/request/placement/home_test.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// TestWindowsKeepATargetBusyAndItsQueueShort replays homes that all use their windows.
+func TestWindowsKeepATargetBusyAndItsQueueShort(t *testing.T) {
+	for _, tt := range []struct{ slots, homes, queue int }{{3, 10, 24}, {6, 8, 48}, {2, 4, 16}, {5, 1, 40}} {
+		all := Window(tt.slots, tt.homes) * tt.homes
+		if all < 2*tt.slots || all > tt.slots+tt.queue {
+			t.Errorf("%d slots, %d homes: got %d at a target, want %d to %d", tt.slots, tt.homes, all, 2*tt.slots, tt.slots+tt.queue)
+		}
+	}
+}
+
 func TestHomesSpreadAndMoveLittle(t *testing.T) {
 	peers := fleet(4, 16)
 	load := make(map[group.DaemonID]int)
