--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -21,6 +21,8 @@
 	ErrFull = errors.New("all connections to the target are in use")
 	// ErrUnreachable means that no connection to the target could be opened.
 	ErrUnreachable = errors.New("target is unreachable")
+	// ErrSlow means that a target took a connection and did not answer the startup in time: it is busy, or it stands still.
+	ErrSlow = errors.New("target is slow to start a connection")
 	// ErrClosed means that the pool hands out no more connections.
 	ErrClosed = errors.New("pool is closed")
 )
@@ -196,8 +198,10 @@
 	}
 	_ = tcp.Close() // nothing is owed on it
 	switch {
-	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF), errors.Is(err, os.ErrDeadlineExceeded):
-		// A target over its limit may reset what it has just accepted; one that is busy lets a startup wait for a slot.
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, fmt.Errorf("%w: %w: startup: %w", ErrUnreachable, ErrSlow, err)
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF):
+		// A target over its limit may reset what it has just accepted.
 		return nil, fmt.Errorf("%w: startup: %w", ErrFull, err)
 	case err != nil:
 		return nil, fmt.Errorf("%w: startup: %w", ErrUnreachable, err)
--- a/internal/connection/relay/forward.go
+++ b/internal/connection/relay/forward.go
@@ -63,6 +63,7 @@
 // relayReply gives the caller the home's answer and follows the state that it tells.
 func (n *run) relayReply(r *link.Reply) {
 	s := n.s
+	s.seams().HomeAnswered(n.work.Group, r.Code.NotRun())
 	if r.Completed {
 		n.follow()
 	}
--- a/internal/process/edge/acquire.go
+++ b/internal/process/edge/acquire.go
@@ -18,6 +18,8 @@
 	choosePause clock.Millis = 15
 	// fullRest is how long a target that takes no further connection is left to others, in milliseconds.
 	fullRest clock.Millis = 30
+	// busyAnswer is how recent an answer shows that a target is busy rather than dead, in milliseconds.
+	busyAnswer clock.Millis = 500
 	// connectionWait bounds the wait for a connection before a target is chosen anew, in milliseconds.
 	connectionWait clock.Millis = 150
 )
@@ -104,6 +106,11 @@
 	if t == nil || errors.Is(err, link.ErrFull) || errors.Is(err, link.ErrClosed) {
 		return
 	}
+	if errors.Is(err, link.ErrSlow) && t.answeredSince(d.clk.Now()-busyAnswer) {
+		// It answers others, so the startup has only waited for a slot.
+		t.leaveAlone(fullRest)
+		return
+	}
 	// What has rested since before that may be dead as well.
 	t.pool.Purge(sent)
 	news, fails := t.failed(sent, err)
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -135,6 +135,7 @@
 		Lost:            d.lost,
 		Home:            d.home,
 		HomeLost:        d.homeLost,
+		HomeAnswered:    d.homeAnswered,
 		Report:          d.report,
 	}
 }
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -16,7 +16,7 @@
 const (
 	// firstRetry is the wait before the store is asked again after a failure, in milliseconds; it doubles up to lastRetry.
 	firstRetry clock.Millis = 100
-	lastRetry  clock.Millis = 500
+	lastRetry  clock.Millis = 1000
 	// entriesWait is how long a watch on the targets' entries waits: a leaving target may be used for far longer, and a new primary shows in its answers.
 	entriesWait = 3 * clock.Second
 	// configPause and entriesPause are the waits behind changes, in milliseconds, so that several come with one call.
--- a/internal/process/edge/peers.go
+++ b/internal/process/edge/peers.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"go.uber.org/zap"
 
@@ -31,6 +33,10 @@
 	peersWait = clock.Second
 	// peerRest is how long a daemon that did not answer is passed over.
 	peerRest = 5 * clock.Second
+	// restartTime is for how long after its start a daemon waits for others that refuse connections.
+	restartTime = 3 * clock.Second
+	// homeSearch bounds the search for a home; a caller gives its startup 2 s.
+	homeSearch = clock.Second
 	// homeStartup bounds the startup of a session at another daemon, in milliseconds.
 	homeStartup clock.Millis = 400
 	// registerPause is the wait before the store is asked again to take the daemon's own entry, in milliseconds.
@@ -56,19 +62,28 @@
 	mu sync.Mutex
 	// restUntil is until when a daemon is passed over.
 	restUntil map[group.DaemonID]clock.Millis
+	// refusedSince is since when the home of a group has only refused.
+	refusedSince map[group.ID]clock.Millis
 }
 
 func newPeers() *peers {
-	p := &peers{restUntil: make(map[group.DaemonID]clock.Millis)}
+	p := &peers{restUntil: make(map[group.DaemonID]clock.Millis), refusedSince: make(map[group.ID]clock.Millis)}
 	p.list.Store(&[]placement.Peer{})
 	return p
 }
 
-// rests reports whether the daemon is passed over now.
-func (p *peers) rests(id group.DaemonID, now clock.Millis) bool {
+// awake returns the daemons that are not passed over now.
+func (p *peers) awake(now clock.Millis) []placement.Peer {
+	list := *p.list.Load()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now < p.restUntil[id]
+	awake := make([]placement.Peer, 0, len(list))
+	for _, o := range list {
+		if now >= p.restUntil[o.ID] {
+			awake = append(awake, o)
+		}
+	}
+	return awake
 }
 
 func (p *peers) rest(id group.DaemonID, until clock.Millis) {
@@ -86,7 +101,10 @@
 		objects, _, err := list.List(ctx, peerPrefix)
 		if err != nil {
 			d.warn("list daemons", err)
-			wait = registerPause
+			wait = peersEvery
+			if !d.peers.known.Load() {
+				wait = registerPause
+			}
 			continue
 		}
 		wait = peersEvery
@@ -161,22 +179,25 @@
 			return nil
 		}
 	}
-	homes := placement.Homes(g, *d.peers.list.Load(), group.DataCentre(d.set.Daemon.DataCentre), v.config.Groups[g].Connections)
-	for _, p := range homes {
-		if p.ID == d.id {
+	for until := d.clk.Now() + homeSearch; d.clk.Now() < until; {
+		homes := placement.Homes(g, d.peers.awake(d.clk.Now()), group.DataCentre(d.set.Daemon.DataCentre), v.config.Groups[g].Connections)
+		if len(homes) == 0 || slices.ContainsFunc(homes, func(p placement.Peer) bool { return p.ID == d.id }) {
 			return nil
 		}
-	}
-	for _, i := range rand.Perm(len(homes)) {
-		p := homes[i]
-		if d.peers.rests(p.ID, d.clk.Now()) {
-			continue
-		}
+		p := homes[rand.IntN(len(homes))]
 		h, err := d.openHome(ctx, &p, db)
 		if err == nil {
 			return h
 		}
 		d.log.Warn("home does not answer", zap.String("home", string(p.ID)), zap.String("group", string(g)), zap.Error(err))
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) && d.clk.Now() < d.startedAt+restartTime {
+			// Daemons that were stopped together do not come back at the same moment.
+			_ = d.clk.Sleep(ctx, choosePause) // the end of ctx is seen above
+			continue
+		}
 		d.homeLost(p.ID)
 	}
 	return nil
@@ -199,6 +220,25 @@
 	return &relay.Home{ID: p.ID, Wire: w, TCP: tcp}, nil
 }
 
+// homeAnswered notes since when a group's home has only refused.
+func (d *Daemon) homeAnswered(g group.ID, refused bool) {
+	d.peers.mu.Lock()
+	defer d.peers.mu.Unlock()
+	switch {
+	case !refused:
+		delete(d.peers.refusedSince, g)
+	case d.peers.refusedSince[g] == 0:
+		d.peers.refusedSince[g] = d.clk.Now()
+	}
+}
+
+// outage is since when a group's home has only refused; 0 while it serves.
+func (p *peers) outage(g group.ID) clock.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refusedSince[g]
+}
+
 // homeLost passes a daemon over for a while.
 func (d *Daemon) homeLost(id group.DaemonID) {
 	d.count("homes-lost")
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -142,6 +142,13 @@
 	return news, true
 }
 
+// answeredSince reports whether the target has answered anything at or after at.
+func (t *target) answeredSince(at clock.Millis) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answered >= at
+}
+
 // outageSince is when the target began to fail; 0 while it answers.
 func (t *target) outageSince() clock.Millis {
 	t.mu.Lock()
