edge: let watches wait by the deployment's bounds

A watch on the configuration waits two thirds of ConfigApplyMs, one on entries three fifths of DrainMs: 3.3 s and 6 s there in place of 2 s and 3 s.

--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -98,7 +98,7 @@
 		claims:     make(map[group.ID]seenClaim),
 	}
 	d.countCalls()
-	d.store = d.dialStore(set.Platform.Wait, false)
+	d.store = d.dialStore(set.configWait(), false)
 	d.promote = platform.Promoter(d.storeConfig(set.Platform.DutyAddress, 0), d.id)
 	d.control = newControl(d)
 	d.view.Store(&view{})
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -17,8 +17,6 @@
 	// firstRetry is the wait before the store is asked again after a failure, in milliseconds; it doubles up to lastRetry.
 	firstRetry clock.Millis = 100
 	lastRetry  clock.Millis = 1000
-	// entriesWait is how long a watch on the targets' entries waits: a leaving target may be used for far longer, and a new primary shows in its answers.
-	entriesWait = 3 * clock.Second
 	// configPause and entriesPause are the waits behind changes, in milliseconds, so that several come with one call.
 	configPause  clock.Millis = 150
 	entriesPause clock.Millis = 100
@@ -103,7 +101,7 @@
 }
 
 func (d *Daemon) followConfig(ctx context.Context) {
-	f := follower{d: d, store: d.dialStore(d.set.Platform.Wait, false), prefix: platform.ConfigPrefix, pause: configPause, apply: d.applyConfig}
+	f := follower{d: d, store: d.dialStore(d.set.configWait(), false), prefix: platform.ConfigPrefix, pause: configPause, apply: d.applyConfig}
 	f.run(ctx)
 }
 
@@ -122,7 +120,7 @@
 }
 
 func (d *Daemon) followTargets(ctx context.Context) {
-	f := follower{d: d, store: d.dialStore(max(entriesWait, d.set.Platform.Wait), false), prefix: platform.TargetsPrefix, pause: entriesPause, apply: d.applyTargets}
+	f := follower{d: d, store: d.dialStore(d.set.entriesWait(), false), prefix: platform.TargetsPrefix, pause: entriesPause, apply: d.applyTargets}
 	f.run(ctx)
 }
 
--- a/internal/process/edge/harness_test.go
+++ b/internal/process/edge/harness_test.go
@@ -85,7 +85,7 @@
 			ID: id, DataCentre: "here", CallerAddress: freeAddress(w.t), HealthAddress: freeAddress(w.t), PeerAddress: freeAddress(w.t),
 			Notice: 50, Drain: 7000, Grace: 4000,
 		},
-		Platform: PlatformSettings{StoreAddress: w.store.Address(), DutyAddress: w.store.Address(), Timeout: 1000, Wait: 300},
+		Platform: PlatformSettings{StoreAddress: w.store.Address(), DutyAddress: w.store.Address(), Timeout: 1000, ConfigApply: 450},
 		Limits:   LimitSettings{Memory: 1024, Descriptors: 4096},
 		Failover: FailoverSettings{Refusing: 300, Silent: 700, Missing: 800},
 	}
--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -38,8 +38,8 @@
 	StoreAddress string       `ini:"store-address" need:"yes" kind:"address"`
 	DutyAddress  string       `ini:"duty-address" need:"yes" kind:"address"`
 	Timeout      clock.Millis `ini:"timeout" default:"1500ms" min:"10ms" max:"1m"`
-	// Wait is how long a watch waits at the store.
-	Wait clock.Millis `ini:"wait" default:"2s" min:"100ms" max:"30s"`
+	// ConfigApply is within what time a configuration has to be in force.
+	ConfigApply clock.Millis `ini:"config-apply" default:"3s" min:"100ms" max:"1m"`
 }
 
 // LimitSettings say what the VM gives.
@@ -72,3 +72,9 @@
 	}
 	return set, nil
 }
+
+// configWait is how long a watch on the configuration waits: a watch can stay silent over changes that the store has dropped from its history, and a third of the time is left for the list behind it.
+func (s *Settings) configWait() clock.Millis { return s.Platform.ConfigApply * 2 / 3 }
+
+// entriesWait is how long a watch on the targets' entries waits, which must leave time to keep work from one that drains.
+func (s *Settings) entriesWait() clock.Millis { return s.Daemon.Drain * 3 / 5 }
