--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -32,8 +32,6 @@
 	route    *topology.Route
 	prepared *link.Prepared
 	writes   bool
-	// opens is true for the first statement of a transaction, which begins at the target too.
-	opens bool
 	// since is from when on acknowledged commits need not be seen: the first byte of the read or its transaction.
 	since   clock.Millis
 	until   clock.Millis
@@ -41,8 +39,8 @@
 	outcome Outcome
 	// ran counts the attempts that ran and failed.
 	ran int
-	// sampledAt is when the newest sample that the run has used was asked for.
-	sampledAt clock.Millis
+	// freshSince is since when a sample must have been asked for, where older ones did not help.
+	freshSince clock.Millis
 	// slow is true once an attempt was left behind because its answer did not come.
 	slow bool
 }
@@ -115,7 +113,7 @@
 	}
 	n.work.Need.Tried = n.work.Need.Tried[:0]
 	// A floor of an earlier term may be held nowhere; a newer sample is of the present one.
-	n.sampledAt = max(n.sampledAt, n.s.now())
+	n.freshSince = n.s.now()
 	return n.s.seams().Clock.Sleep(ctx, busyPause) == nil
 }
 
@@ -125,7 +123,7 @@
 	if n.route.Consistency != topology.Strong {
 		since += ageMargin - n.route.Staleness
 	}
-	sample, err := n.s.seams().Sample(ctx, n.work.Group, max(since, n.sampledAt), n.until)
+	sample, err := n.s.seams().Sample(ctx, n.work.Group, max(since, n.freshSince), n.until)
 	if err != nil {
 		n.refuse(err)
 		return false
--- a/internal/connection/relay/transaction.go
+++ b/internal/connection/relay/transaction.go
@@ -17,7 +17,6 @@
 		return
 	}
 	if s.tx.lease == nil {
-		n.opens = true
 		n.since = s.tx.arrived
 		n.work.Need.Leader = s.tx.begin.Verb == statement.Begin
 		n.loop(ctx, n.attemptBegin)
