--- a/internal/process/edge/meter.go
+++ b/internal/process/edge/meter.go
@@ -65,7 +65,7 @@
 			route = o.Route.Name
 		}
 		e.Write(zap.Uint64("session", uint64(o.Session)), zap.String("request", string(o.ID)), zap.String("database", string(o.Database)), zap.String("route", route),
-			zap.Int("verb", int(o.Verb)), zap.Bool("writes", o.Writes), zap.String("home", string(o.Home)), zap.String("target", string(o.Target)), zap.Bool("primary", o.Leader),
+			zap.Stringer("verb", o.Verb), zap.Bool("writes", o.Writes), zap.String("home", string(o.Home)), zap.String("target", string(o.Target)), zap.Bool("primary", o.Leader),
 			zap.Stringer("floor", o.Floor), zap.Int("attempts", o.Attempts), zap.String("cause", o.Cause),
 			zap.Stringer("outcome", o.Code), zap.Int64("arrived", int64(o.Arrived)), zap.Int64("took-ms", int64(took)))
 	}
--- a/internal/request/statement/statement.go
+++ b/internal/request/statement/statement.go
@@ -30,6 +30,19 @@
 	Deallocate
 )
 
+var verbs = [...]string{
+	Begin: "begin", BeginRead: "begin-read", Commit: "commit", Rollback: "rollback", Read: "read", Write: "write",
+	Set: "set", Prepare: "prepare", Execute: "execute", Deallocate: "deallocate",
+}
+
+// String names the verb as logs show it.
+func (v Verb) String() string {
+	if v < Begin || int(v) >= len(verbs) {
+		return "none"
+	}
+	return verbs[v]
+}
+
 // Shape is what a prepared statement runs, as the caller wrote it.
 type Shape string
 
