edge: keep the platform's words out of the daemon's tests

daemon_test.go spelt answers and entries as the platform does, which only platform/ and its stand-in may know. No program source changed.

--- a/internal/process/edge/daemon_test.go
+++ b/internal/process/edge/daemon_test.go
@@ -17,10 +17,10 @@
 	for _, db := range []string{"entries", "own"} {
 		c := d.connect(db)
 		for i := range 30 {
-			if got := c.ask(fmt.Sprintf("WRITE a-%s v%d", db, i)); !strings.HasPrefix(got, "COMPLETE by-g-0") {
+			if got := c.ask(fmt.Sprintf("WRITE a-%s v%d", db, i)); !standin.CompletedBy(got, "g-0") {
 				t.Fatalf("%s: got %q, want the primary's signature", db, got)
 			}
-			if got, want := c.ask("READ a-"+db), fmt.Sprintf("DATAROW v%d", i); !strings.HasPrefix(got, want) {
+			if got, want := c.ask("READ a-"+db), fmt.Sprintf("v%d", i); !standin.Row(got, want) {
 				t.Fatalf("%s: got %q, want %q", db, got, want)
 			}
 		}
@@ -34,30 +34,30 @@
 	d := w.start("front-1")
 	c := d.connect("gone")
 	w.store.Set("config", "main", config(9, true))
-	w.eventually("route is gone", func() bool { return strings.HasPrefix(c.ask("READ a"), "ERROR NODB") })
+	w.eventually("route is gone", func() bool { return standin.NoRoute(c.ask("READ a")) })
 	w.store.Set("config", "main", config(5, false))
-	w.store.Set("config", "main", `{"Version":"nonsense"}`)
+	w.store.Set("config", "main", standin.MalformedConfig)
 	w.store.Forget()
 	time.Sleep(300 * time.Millisecond)
-	if got := c.ask("READ a"); !strings.HasPrefix(got, "ERROR NODB") {
+	if got := c.ask("READ a"); !standin.NoRoute(got) {
 		t.Errorf("got %q after an older version, want no route", got)
 	}
 	w.store.Set("config", "main", config(12, false))
-	w.eventually("route is back", func() bool { return strings.HasPrefix(c.ask("READ a"), "DATAROW") })
+	w.eventually("route is back", func() bool { return standin.Row(c.ask("READ a"), "") })
 }
 
 func TestMalformedEntriesNameNoTarget(t *testing.T) {
 	w := newWorld(t)
 	d := w.start("front-1")
-	w.store.Set("servers", "i-odd", map[string]any{"Service": "g", "Address": "10.0.0.1:1", "State": "resting"})
+	w.store.Set("servers", "i-odd", standin.Malformed("g"))
 	w.store.Set("servers", "i-text", "\"x\"")
-	w.store.Set("servers", "g-2", map[string]any{"Service": 7})
+	w.store.Set("servers", "g-2", standin.WrongType())
 	w.eventually("the overwritten entry names no target", func() bool {
 		g := d.view.Load().groups["g"]
 		t := g.target("g-2")
 		return g.target("i-odd") == nil && (t == nil || t.candidate(false).Leaving)
 	})
-	if got := d.connect("entries").ask("WRITE a 1"); !strings.HasPrefix(got, "COMPLETE") {
+	if got := d.connect("entries").ask("WRITE a 1"); !standin.Completed(got) {
 		t.Errorf("got %q, want the others to serve", got)
 	}
 }
@@ -68,7 +68,7 @@
 	c := d.connect("entries")
 	w.store.Break(func(*http.Request) standin.Fault { return standin.Fault{Status: http.StatusServiceUnavailable} })
 	for i := range 20 {
-		if got := c.ask(fmt.Sprintf("WRITE a v%d", i)); !strings.HasPrefix(got, "COMPLETE") {
+		if got := c.ask(fmt.Sprintf("WRITE a v%d", i)); !standin.Completed(got) {
 			t.Fatalf("got %q while the store is away, want it served", got)
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -86,9 +86,7 @@
 	before := d.view.Load().findTarget("g", "g-1")
 	w.store.Delete("servers", "g-1")
 	w.eventually("entry is gone", func() bool { return before.candidate(false).Leaving })
-	w.store.Set("servers", "g-1", map[string]any{
-		"Service": "g", "Address": before.meta.Load().Address, "Zone": "here", "Capacity": 4, "State": "ready", "DbRole": "replica", "born": 1700000000000,
-	})
+	w.store.Set("servers", "g-1", standin.Entry("g", before.meta.Load().Address, 1700000000000))
 	w.eventually("entry is back", func() bool { return !before.candidate(false).Leaving })
 	if got := d.view.Load().findTarget("g", "g-1"); got != before {
 		t.Error("got another target, want the same with its connections")
@@ -99,9 +97,7 @@
 	w := newWorld(t)
 	d := w.start("front-1")
 	before := d.view.Load().findTarget("g", "g-1")
-	w.store.Set("servers", "g-1", map[string]any{
-		"Service": "g", "Address": before.meta.Load().Address, "Zone": "here", "Capacity": 4, "State": "ready", "DbRole": "replica", "born": 1700000009999,
-	})
+	w.store.Set("servers", "g-1", standin.Entry("g", before.meta.Load().Address, 1700000009999))
 	w.eventually("target is another", func() bool {
 		now := d.view.Load().findTarget("g", "g-1")
 		return now != nil && now != before
@@ -118,7 +114,7 @@
 		default:
 		}
 		data := fmt.Sprintf("%s v%d", name, i)
-		if got := c.ask("WRITE " + data); strings.HasPrefix(got, "COMPLETE") {
+		if got := c.ask("WRITE " + data); standin.Completed(got) {
 			acknowledged = append(acknowledged, data)
 		}
 		time.Sleep(2 * time.Millisecond)
@@ -196,7 +192,7 @@
 			old := w.group.Primary()
 			tt.fault(w)
 			for _, c := range []*client{ca, cb} {
-				w.eventually("writes go on", func() bool { return strings.HasPrefix(c.ask("WRITE b 1"), "COMPLETE") })
+				w.eventually("writes go on", func() bool { return standin.Completed(c.ask("WRITE b 1")) })
 			}
 			if p := w.group.Primary(); p == nil || p == old {
 				t.Errorf("got %v, want another primary", p)
@@ -216,7 +212,7 @@
 	time.Sleep(1500 * time.Millisecond)
 	old.Silence(false)
 	w.store.Break(nil)
-	w.eventually("writes go on", func() bool { return strings.HasPrefix(c.ask("WRITE b 1"), "COMPLETE") })
+	w.eventually("writes go on", func() bool { return standin.Completed(c.ask("WRITE b 1")) })
 	if p := w.group.Primary(); p != old {
 		t.Errorf("got %v as primary, want it to stay", p)
 	}
@@ -231,11 +227,11 @@
 	working.ask("WRITE a 1")
 	d.stop()
 	w.eventually("health check fails", func() bool { return !d.healthy() })
-	if got := resting.ask("READ a"); !strings.HasPrefix(got, "DATAROW") && !strings.HasSuffix(got, "broken") && got != "" {
+	if got := resting.ask("READ a"); !standin.Row(got, "") && !strings.HasSuffix(got, "broken") && got != "" {
 		t.Errorf("got %q, want an answer or a connection that was closed at rest", got)
 	}
 	time.Sleep(200 * time.Millisecond)
-	if got := working.ask("COMMIT"); !strings.HasPrefix(got, "COMPLETE by-g-0") {
+	if got := working.ask("COMMIT"); !standin.CompletedBy(got, "g-0") {
 		t.Errorf("got %q, want the open transaction to end", got)
 	}
 	select {
@@ -264,10 +260,10 @@
 		for i := range 3 {
 			c := d.connect("own")
 			item := fmt.Sprintf("%s-%d", d.id, i)
-			if got := c.ask("WRITE " + item + " 1"); !strings.HasPrefix(got, "COMPLETE") {
+			if got := c.ask("WRITE " + item + " 1"); !standin.Completed(got) {
 				t.Errorf("got %q, want the write served", got)
 			}
-			if got := c.ask("READ " + item); !strings.HasPrefix(got, "DATAROW 1") {
+			if got := c.ask("READ " + item); !standin.Row(got, "1") {
 				t.Errorf("got %q, want the session's write", got)
 			}
 		}
