promotion: take only what a status tells as received by a replica

Cause: a point that a replica had applied counted as received when it was seen. A replica that applies late looked as if its primary still sent its log, so a lost primary was asked after for longer than the settings say.

Change: promotion.Receipt notes what is received between two statuses; only a rise above a status asked since the suspicion shows that the primary is alive, for two rounds of questions.

--- a/internal/process/edge/probe.go
+++ b/internal/process/edge/probe.go
@@ -87,7 +87,7 @@
 		d.warn("status of a target", err)
 		return a
 	}
-	t.holds(report.Received)
+	t.reported(report.Received, asked)
 	a.report = &report
 	return a
 }
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -55,8 +55,7 @@
 	restUntil    clock.Millis
 	place        position.Point
 	placeAt      clock.Millis
-	received     position.Point
-	advancedAt   clock.Millis
+	receipt      promotion.Receipt
 	// leavingSince is when the target was first seen to drain, or its entry to be gone; 0 while it stays.
 	leavingSince clock.Millis
 	// leaveLimit is how long after that it may be given work.
@@ -94,7 +93,7 @@
 	defer t.mu.Unlock()
 	return promotion.Member{
 		ID: m.ID, Draining: m.Draining, Leader: leader, Answered: t.answered, FailingSince: t.failingSince,
-		Refusing: t.refusing, Received: t.received, AdvancedAt: t.advancedAt,
+		Refusing: t.refusing, Receipt: t.receipt,
 	}
 }
 
@@ -110,21 +109,14 @@
 	if r.Point != (position.Point{}) {
 		t.place, t.placeAt = r.Point, now
 	}
-	t.hold(r.Point, now)
+	t.receipt.Applied(r.Point, now)
 }
 
-// hold notes a point that the target has received; t.mu is held.
-func (t *target) hold(p position.Point, now clock.Millis) {
-	if t.received.Before(p) {
-		t.received, t.advancedAt = p, now
-	}
-}
-
-// holds notes what a report says that the target has received.
-func (t *target) holds(p position.Point) {
+// reported notes what a status asked for at that time says that the target has received.
+func (t *target) reported(p position.Point, asked clock.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.hold(p, t.clk.Now())
+	t.receipt.Reported(p, asked, t.clk.Now())
 }
 
 // failed notes that something sent at that time was not answered, and reports whether the target fails by that and whether that is news; it does not when it has answered something sent later.
--- a/internal/version/promotion/decide.go
+++ b/internal/version/promotion/decide.go
@@ -14,13 +14,13 @@
 	Silent clock.Millis
 	// Missing is how long a group must have no target that says it is the primary.
 	Missing clock.Millis
-	// Advance is for how long a point received by a replica shows that the primary is alive.
+	// Advance is for how long something received by a replica shows that the primary is alive: two rounds of questions, one of which waits for a silent target.
 	Advance clock.Millis
 }
 
 // DefaultSettings weigh the failover gap against replacing a primary that lives.
 func DefaultSettings() Settings {
-	return Settings{Refusing: 300, Silent: 700, Missing: 800, Advance: 400}
+	return Settings{Refusing: 300, Silent: 700, Missing: 800, Advance: 1000}
 }
 
 // Member is a target of a group as this daemon knows it.
@@ -35,10 +35,10 @@
 	FailingSince clock.Millis
 	// Refusing is true when the target's host refuses connections, rather than being silent.
 	Refusing bool
-	// Received is the last point that the target is known to hold.
+	// Received is the last point that the target says it holds.
 	Received position.Point
-	// AdvancedAt is when Received last rose.
-	AdvancedAt clock.Millis
+	// Receipt is what it is known to have received, and when.
+	Receipt Receipt
 }
 
 // Action is what to do about a group's primary.
@@ -98,7 +98,7 @@
 	}
 	for i := range list {
 		m := &list[i]
-		if !m.Leader && m.AdvancedAt > since && now-m.AdvancedAt < s.Advance {
+		if !m.Leader && m.Receipt.After >= since && m.Receipt.SeenAt > 0 && now-m.Receipt.SeenAt < s.Advance {
 			// The primary still sends its log: it is cut off from this daemon alone.
 			return Probe
 		}
--- a/internal/version/promotion/decide_test.go
+++ b/internal/version/promotion/decide_test.go
@@ -12,12 +12,20 @@
 	return position.Point{Term: position.Term(term), Position: position.Position(number)}
 }
 
+// received is the receipt of a replica that was seen to receive something at that time.
+func received(at clock.Millis) Receipt {
+	var r Receipt
+	r.Reported(point(1, 8), at-1, at-1)
+	r.Reported(point(1, 9), at, at)
+	return r
+}
+
 var settings = Settings{Refusing: 300, Silent: 700, Missing: 800, Advance: 400}
 
 func TestDecide(t *testing.T) {
 	const now clock.Millis = 10_000
 	primary := Member{ID: "p", Leader: true, Answered: now}
-	replica := Member{ID: "r", Answered: now, Received: point(1, 9), AdvancedAt: now - 5000}
+	replica := Member{ID: "r", Answered: now, Receipt: received(now - 5000)}
 	with := func(m Member, f func(*Member)) Member { f(&m); return m }
 	silent := with(primary, func(m *Member) { m.FailingSince = now - 700 })
 	tests := []struct {
@@ -31,7 +39,7 @@
 		{"primary has just failed", []Member{with(primary, func(m *Member) { m.FailingSince = now - 100 }), replica}, 0, 1, Probe},
 		{"primary is silent", []Member{silent, replica}, 0, 1, Replace},
 		{"primary refuses", []Member{with(primary, func(m *Member) { m.FailingSince, m.Refusing = now-300, true }), replica}, 0, 1, Replace},
-		{"primary still sends its log to a replica", []Member{silent, with(replica, func(m *Member) { m.AdvancedAt = now - 100 })}, 0, 1, Probe},
+		{"primary still sends its log to a replica", []Member{silent, with(replica, func(m *Member) { m.Receipt = received(now - 100) })}, 0, 1, Probe},
 		{"no replica answers either", []Member{silent, with(replica, func(m *Member) { m.FailingSince = now - 10 })}, 0, 1, Probe},
 		{"only a leaving replica is left", []Member{silent, with(replica, func(m *Member) { m.Draining = true })}, 0, 1, Probe},
 		{"no primary for long", []Member{replica}, now - 800, 1, Replace},
