admission: let what can still answer in time go before what is late

Statements waited in the order of their time-outs, so nearly all of them ended late or were refused after 800 ms (440 'lagging' and 420 'deadline passed' out of 1,300 postings between 10 s and 15 s).

Change: a statement shows by when it has to start for its objective (StartBy). One that has missed it waits behind all that can still make theirs, and is the first to give up its place. One that cannot start before its deadline, by those ahead and the usual time of the target, is refused at once.

--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -69,7 +69,7 @@
 	n.outcome = Outcome{
 		Session: s.id, ID: st.ID, Database: s.database, Route: r, Verb: st.Verb, Writes: n.writes, Arrived: n.since,
 	}
-	n.work = Work{Group: r.Group, Values: &s.values, Priority: r.Priority, Writes: n.writes, Until: n.until}
+	n.work = Work{Group: r.Group, Values: &s.values, Priority: r.Priority, Writes: n.writes, InTime: n.since + r.Objective, Until: n.until}
 	return n, true
 }
 
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -36,7 +36,9 @@
 	Priority int
 	// Writes is true for work that changes data.
 	Writes bool
-	// Until is when the statement is no longer worth starting.
+	// InTime is until when an answer is of full worth to the caller.
+	InTime clock.Millis
+	// Until is until when the caller waits for an answer.
 	Until clock.Millis
 }
 
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -35,6 +35,8 @@
 	latencyLife clock.Millis = 500
 	// latencyWeight is the part of a new time in the usual one.
 	latencyWeight = 0.1
+	// usualPart is the part of the time left, one in so many, that a statement is held to take at most: one that is slower still is better tried than refused unheard.
+	usualPart = 4
 	// mostUrgent is the weight of work of priority 0.
 	mostUrgent = 16
 )
@@ -76,13 +78,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	leaving := t.leavingSince > 0
-	// A time that nothing has confirmed for long fades, so that a target that was slow is tried again.
-	latency := t.latency / float64(1+max(0, now-t.answered)/latencyLife)
 	return placement.Candidate{
 		ID: m.ID, DataCentre: m.DataCentre, Slots: m.Slots, Leader: leader,
 		Leaving: leaving, Left: leaving && now-t.leavingSince > t.leaveLimit,
 		Failing: t.failingSince > 0, RestUntil: t.restUntil, Load: load.Total(),
-		Latency: max(leastLatency, latency), Place: t.place, PlaceAt: t.placeAt,
+		Latency: t.fadedLatency(now), Place: t.place, PlaceAt: t.placeAt,
 	}
 }
 
@@ -170,13 +170,29 @@
 	if w.Writes {
 		kind = admission.Write
 	}
-	leave, err := t.gate.Enter(ctx, admission.Ticket{Weight: max(1, mostUrgent-w.Priority), Kind: kind, Deadline: w.Until})
+	now := t.clk.Now()
+	usual := min(t.usual(now), (w.Until-now)/usualPart)
+	leave, err := t.gate.Enter(ctx, admission.Ticket{
+		Weight: max(1, mostUrgent-w.Priority), Kind: kind, StartBy: max(1, w.InTime-usual), Deadline: w.Until - usual, Usual: usual,
+	})
 	if err != nil {
 		return nil, &statement.Refusal{Code: statement.Busy, Text: err.Error() + ", come back in 100 ms"}
 	}
 	return leave, nil
 }
 
+// usual is the usual time of a statement at the target.
+func (t *target) usual(now clock.Millis) clock.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return clock.Millis(t.fadedLatency(now))
+}
+
+// fadedLatency is the usual time in milliseconds: one that nothing has confirmed for long fades, so that a target that was slow is tried again; t.mu is held.
+func (t *target) fadedLatency(now clock.Millis) float64 {
+	return max(leastLatency, t.latency/float64(1+max(0, now-t.answered)/latencyLife))
+}
+
 // leave notes whether the target is about to go.
 func (t *target) leave(leaving bool) {
 	now := t.clk.Now()
--- a/internal/request/admission/class.go
+++ b/internal/request/admission/class.go
@@ -1,25 +1,50 @@
 package admission
 
-import "container/heap"
+import (
+	"container/heap"
 
-// line holds waiting items, earliest deadline first.
+	"github.com/cactusfork/cactusfork/pkg/clock"
+)
+
+// line holds waiting items, the most urgent first.
 type line []entry
 
 // entry is an item with its place in the order of arrival.
 type entry struct {
 	Item
 	seq uint64
+	// late is true once the item could not start in time.
+	late bool
 }
 
-// before orders by deadline, of which 0 is the latest, and then by arrival.
+// due is by when the item should run; 0 means never.
+func (e entry) due() clock.Millis {
+	if e.late || e.StartBy == 0 {
+		return e.Deadline
+	}
+	return e.StartBy
+}
+
+// before orders by when the items are due, of which 0 is the latest, and then by arrival.
 func (e entry) before(f entry) bool {
-	if e.Deadline == f.Deadline {
+	if e.due() == f.due() {
 		return e.seq < f.seq
 	}
-	if e.Deadline == 0 || f.Deadline == 0 {
-		return f.Deadline == 0
+	if e.due() == 0 || f.due() == 0 {
+		return f.due() == 0
+	}
+	return e.due() < f.due()
+}
+
+// ahead is the number of entries that run before e.
+func (l line) ahead(e entry) int {
+	n := 0
+	for i := range l {
+		if l[i].before(e) {
+			n++
+		}
 	}
-	return e.Deadline < f.Deadline
+	return n
 }
 
 func (l line) Len() int           { return len(l) }
@@ -53,15 +78,49 @@
 	weight int
 	reads  line
 	writes line
+	// lateReads and lateWrites have missed their time to start.
+	lateReads  line
+	lateWrites line
 	// passed counts the items of other classes that ran since this class waits.
 	passed int
 	// readTurn makes reads and writes of one weight take turns.
 	readTurn bool
 }
 
+// empty reports whether no item waits that can still start in time.
 func (c *class) empty() bool { return len(c.reads)+len(c.writes) == 0 }
 
-// line returns the items of a kind.
+func (c *class) lines() []*line {
+	return []*line{&c.reads, &c.writes, &c.lateReads, &c.lateWrites}
+}
+
+// lateLine returns where the late item waits that runs first; nil where there is none.
+func (c *class) lateLine() *line {
+	r, w := &c.lateReads, &c.lateWrites
+	switch {
+	case len(*r) == 0 && len(*w) == 0:
+		return nil
+	case len(*r) == 0 || len(*w) > 0 && (*w)[0].before((*r)[0]):
+		return w
+	}
+	return r
+}
+
+// demote moves the items that can no longer start in time behind all others.
+func (c *class) demote(now clock.Millis) {
+	demote(&c.reads, &c.lateReads, now)
+	demote(&c.writes, &c.lateWrites, now)
+}
+
+func demote(from, to *line, now clock.Millis) {
+	for len(*from) > 0 && (*from)[0].StartBy != 0 && (*from)[0].StartBy <= now {
+		e := heap.Pop(from).(entry)
+		e.late = true
+		heap.Push(to, e)
+	}
+}
+
+// line returns the items of a kind that can still start in time.
 func (c *class) line(k Kind) *line {
 	if k == Write {
 		return &c.writes
--- a/internal/request/admission/gate.go
+++ b/internal/request/admission/gate.go
@@ -14,8 +14,12 @@
 type Ticket struct {
 	Weight int
 	Kind   Kind
+	// StartBy is by when the request has to start to be of full worth; 0 means that it is always in time.
+	StartBy clock.Millis
 	// Deadline is when the request is no longer worth running; 0 means never.
 	Deadline clock.Millis
+	// Usual is how long a request usually holds a slot; 0 means that it is not known.
+	Usual clock.Millis
 }
 
 // Load is what a gate has at work and waiting, in requests.
@@ -78,7 +82,7 @@
 func (g *Gate) ask(now clock.Millis, t Ticket) (ID, chan error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	i := Item{Weight: t.Weight, Kind: t.Kind, Deadline: t.Deadline}
+	i := Item{Weight: t.Weight, Kind: t.Kind, StartBy: t.StartBy, Deadline: t.Deadline}
 	if g.busy < g.slots && g.queue.Len() == 0 && !i.expired(now) {
 		g.start(t.Kind)
 		return 0, nil
@@ -86,6 +90,10 @@
 	g.last++
 	i.ID = g.last
 	granted := make(chan error, 1)
+	if g.hopeless(now, &t, i) {
+		granted <- refusal.Overloaded("too many requests wait for the target")
+		return i.ID, granted
+	}
 	g.waiting[i.ID] = granted
 	for _, out := range g.queue.Push(now, i) {
 		g.tell(out.ID, refused(now, out))
@@ -93,6 +101,15 @@
 	return i.ID, granted
 }
 
+// hopeless reports whether those ahead of the item are too many for it to start before its deadline.
+func (g *Gate) hopeless(now clock.Millis, t *Ticket, i Item) bool {
+	if t.Usual == 0 || i.Deadline == 0 {
+		return false
+	}
+	rounds := clock.Millis((g.queue.Ahead(i) + max(g.slots, 1)) / max(g.slots, 1))
+	return now+rounds*t.Usual > i.Deadline
+}
+
 func refused(now clock.Millis, i Item) error {
 	if i.expired(now) {
 		return refusal.Deadline("deadline passed before a slot came free")
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -30,6 +30,8 @@
 type Item struct {
 	ID     ID
 	Weight int
+	// StartBy is by when the item has to start to be of full worth; later it runs only when no other waits that is still in time. 0 means that it is always in time.
+	StartBy clock.Millis
 	// Deadline is when the item is no longer worth running; 0 means never.
 	Deadline clock.Millis
 	Kind     Kind
@@ -69,11 +71,17 @@
 	if gone := q.expire(now); len(gone) > 0 {
 		return append(gone, q.Push(now, i)...)
 	}
+	if l := q.lowestLate(i.Kind); l != nil {
+		out := q.take(l, l.last())
+		q.add(i)
+		return []Item{out}
+	}
 	c, kind := q.lowest(i.Kind)
 	if c == nil || !yields(c.weight, kind, i) {
 		return []Item{i}
 	}
-	out := q.take(c, kind, c.line(kind).last())
+	l := c.line(kind)
+	out := q.take(l, l.last())
 	q.add(i)
 	return []Item{out}
 }
@@ -93,7 +101,20 @@
 	return kind == Read && i.Kind == Write
 }
 
-// lowest returns where to refuse first for an item of kind k; once reads have all their places, a read displaces only reads.
+// lowestLate returns where the lightest late item waits that gives its place to one of kind k; nil where there is none.
+func (q *Queue) lowestLate(k Kind) *line {
+	for _, c := range slices.Backward(q.classes) {
+		if len(c.lateReads) > 0 {
+			return &c.lateReads
+		}
+		if len(c.lateWrites) > 0 && (k == Write || !q.readsFull()) {
+			return &c.lateWrites
+		}
+	}
+	return nil
+}
+
+// lowest returns where to refuse first for an item of kind k among those in time; once reads have all their places, a read displaces only reads.
 func (q *Queue) lowest(k Kind) (*class, Kind) {
 	for _, c := range slices.Backward(q.classes) {
 		if len(c.reads) > 0 {
@@ -112,7 +133,8 @@
 	expired = q.expire(now)
 	c := q.turn()
 	if c == nil {
-		return Item{}, expired, false
+		next, ok = q.popLate()
+		return next, expired, ok
 	}
 	for _, other := range q.classes {
 		if !other.empty() {
@@ -125,7 +147,32 @@
 	return next, expired, true
 }
 
-// turn returns the heaviest waiting class, unless another was passed AgingBound times.
+// popLate takes the late item to run now: the heaviest, earliest deadline first.
+func (q *Queue) popLate() (Item, bool) {
+	for _, c := range q.classes {
+		if l := c.lateLine(); l != nil {
+			return q.take(l, 0), true
+		}
+	}
+	return Item{}, false
+}
+
+// Ahead is the number of items that wait in time and run before i, but for those that age lets pass.
+func (q *Queue) Ahead(i Item) int {
+	n := 0
+	e := entry{Item: i, seq: q.seq + 1}
+	for _, c := range q.classes {
+		switch {
+		case c.weight > i.Weight:
+			n += len(c.reads) + len(c.writes)
+		case c.weight == i.Weight:
+			n += c.reads.ahead(e) + c.writes.ahead(e)
+		}
+	}
+	return n
+}
+
+// turn returns the heaviest class that waits in time, unless another was passed AgingBound times.
 func (q *Queue) turn() *class {
 	var heaviest, aged *class
 	for _, c := range q.classes {
@@ -154,10 +201,10 @@
 func (q *Queue) expire(now clock.Millis) []Item {
 	var gone []Item
 	for _, c := range q.classes {
-		for _, kind := range []Kind{Read, Write} {
-			l := c.line(kind)
+		c.demote(now)
+		for _, l := range c.lines() {
 			for len(*l) > 0 && (*l)[0].expired(now) {
-				gone = append(gone, q.take(c, kind, 0))
+				gone = append(gone, q.take(l, 0))
 			}
 		}
 	}
@@ -168,10 +215,10 @@
 func (q *Queue) Remove(id ID) bool {
 	defer q.settle()
 	for _, c := range q.classes {
-		for _, kind := range []Kind{Read, Write} {
-			at := slices.IndexFunc(*c.line(kind), func(e entry) bool { return e.ID == id })
+		for _, l := range c.lines() {
+			at := slices.IndexFunc(*l, func(e entry) bool { return e.ID == id })
 			if at >= 0 {
-				q.take(c, kind, at)
+				q.take(l, at)
 				return true
 			}
 		}
@@ -179,13 +226,13 @@
 	return false
 }
 
-func (q *Queue) take(c *class, kind Kind, at int) Item {
-	i := c.line(kind).take(at)
-	q.count(kind, -1)
+func (q *Queue) take(l *line, at int) Item {
+	i := l.take(at)
+	q.count(i.Kind, -1)
 	return i
 }
 
-// settle forgets the turns of the classes in which nothing waits any more.
+// settle forgets the turns of the classes in which nothing waits in time any more.
 // It runs last, so that a class whose only item gives way to another one of it keeps its turn.
 func (q *Queue) settle() {
 	for _, c := range q.classes {
@@ -197,7 +244,10 @@
 
 func (q *Queue) add(i Item) {
 	q.seq++
-	heap.Push(q.class(i.Weight).line(i.Kind), entry{i, q.seq})
+	if i.Deadline != 0 {
+		i.StartBy = min(i.StartBy, i.Deadline)
+	}
+	heap.Push(q.class(i.Weight).line(i.Kind), entry{Item: i, seq: q.seq})
 	q.count(i.Kind, 1)
 }
 
