edge: count a target's leaving from when it may have begun

A daemon that was restarted while a target drained counted the drain time from its own first look, 4.4 s late, and sent it work 11.9 s behind its word (bound 10 s). The same would happen behind an outage of the store.

Change: entries carry after when they changed: now for a watch without a gap, the last call that succeeded behind a gap, unknown for a daemon that has just started, which sends a target found draining nothing.

--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -33,6 +33,8 @@
 		entries []topology.Target
 		removed []group.TargetID
 		whole   bool
+		// since is after when the changes came; 0 when that is not known.
+		since clock.Millis
 	}
 	// ledBy is a target that has shown to lead.
 	ledBy struct {
@@ -196,21 +198,21 @@
 	present := make(map[group.TargetID]bool, len(m.entries))
 	for i := range m.entries {
 		present[m.entries[i].ID] = true
-		c.takeEntry(&m.entries[i], now)
+		c.takeEntry(&m.entries[i], m.since, now)
 	}
 	for _, g := range c.groups {
 		for id, t := range g.members {
 			if t.lapsedAt == 0 && (slices.Contains(m.removed, id) || m.whole && !present[id]) {
 				t.lapsedAt = now
-				t.leave(true)
+				t.leave(true, m.since)
 				c.d.log.Info("entry is gone", zap.String("target", string(id)), zap.String("group", string(g.id)))
 			}
 		}
 	}
 }
 
-// takeEntry brings a target up to date; one that has moved or started anew is another one.
-func (c *control) takeEntry(e *topology.Target, now clock.Millis) {
+// takeEntry brings a target up to date by an entry that changed after since; one that has moved or started anew is another one.
+func (c *control) takeEntry(e *topology.Target, since, now clock.Millis) {
 	g := c.groups[e.Group]
 	if g == nil {
 		g = &groupState{id: e.Group, members: make(map[group.TargetID]*member)}
@@ -238,13 +240,13 @@
 		if e.Primary {
 			old.ledAt = now
 		}
-		old.leave(e.Draining)
+		old.leave(e.Draining, since)
 		c.logEntry("target found", e)
 		return
 	}
 	was := old.meta.Load()
 	old.lapsedAt = 0
-	old.leave(e.Draining)
+	old.leave(e.Draining, since)
 	switch {
 	case e.Primary && !was.Primary:
 		old.ledAt = now
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -29,20 +29,34 @@
 	prefix store.Key
 	// pause is the wait behind changes.
 	pause clock.Millis
-	// apply takes objects; whole is true when they are all there are.
-	apply func(ctx context.Context, objects []store.Object, whole bool)
+	apply func(ctx context.Context, r read)
 	up    bool
 	wait  clock.Millis
+	// synced is when the last call that succeeded was made; 0 before the first one.
+	synced clock.Millis
+	// gap is true while changes may have come that no watch has told.
+	gap bool
+}
+
+// read is what one call has brought.
+type read struct {
+	objects []store.Object
+	// whole is true when the objects are all there are.
+	whole bool
+	// since is after when the changes came; 0 when that is not known.
+	since clock.Millis
 }
 
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		asked := f.d.clk.Now()
 		objects, from, err := f.store.List(ctx, f.prefix)
 		if !f.noted(ctx, err) {
 			continue
 		}
-		f.apply(ctx, objects, true)
+		f.apply(ctx, read{objects: objects, whole: true, since: f.synced})
+		f.synced, f.gap = asked, false
 		f.watch(ctx, from)
 	}
 }
@@ -50,19 +64,26 @@
 // watch applies changes until the history that it needs is gone.
 func (f *follower) watch(ctx context.Context, from store.Version) {
 	for ctx.Err() == nil {
+		asked := f.d.clk.Now()
 		objects, next, err := f.store.Watch(ctx, f.prefix, from)
 		if errors.Is(err, store.ErrHistoryGone) {
 			f.d.log.Info("history is gone", zap.String("prefix", string(f.prefix)), zap.Uint64("from", uint64(from)))
 			return
 		}
 		if !f.noted(ctx, err) {
+			f.gap = true
 			continue
 		}
 		from = next
+		since := f.d.clk.Now()
+		if f.gap {
+			since = f.synced
+		}
+		f.synced, f.gap = asked, false
 		if len(objects) == 0 {
 			continue
 		}
-		f.apply(ctx, objects, false)
+		f.apply(ctx, read{objects: objects, since: since})
 		_ = f.d.clk.Sleep(ctx, f.pause) // the end of ctx is seen by the loop
 	}
 }
@@ -105,8 +126,8 @@
 	f.run(ctx)
 }
 
-func (d *Daemon) applyConfig(ctx context.Context, objects []store.Object, _ bool) {
-	for _, o := range objects {
+func (d *Daemon) applyConfig(ctx context.Context, r read) {
+	for _, o := range r.objects {
 		if o.Key != platform.ConfigKey || o.Deleted {
 			continue
 		}
@@ -124,9 +145,9 @@
 	f.run(ctx)
 }
 
-func (d *Daemon) applyTargets(ctx context.Context, objects []store.Object, whole bool) {
-	m := entriesRead{whole: whole}
-	for _, o := range objects {
+func (d *Daemon) applyTargets(ctx context.Context, r read) {
+	m := entriesRead{whole: r.whole, since: r.since}
+	for _, o := range r.objects {
 		t, err := platform.ParseTarget(o)
 		if err != nil {
 			d.warn("entry in the store", err)
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -58,7 +58,8 @@
 	place        position.Point
 	placeAt      clock.Millis
 	receipt      promotion.Receipt
-	// leavingSince is when the target was first seen to drain, or its entry to be gone; 0 while it stays.
+	// leaving is true while the target drains or its entry is gone, at the latest since leavingSince.
+	leaving      bool
 	leavingSince clock.Millis
 	// leaveLimit is how long after that it may be given work.
 	leaveLimit clock.Millis
@@ -77,10 +78,9 @@
 	now := t.clk.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	leaving := t.leavingSince > 0
 	return placement.Candidate{
 		ID: m.ID, DataCentre: m.DataCentre, Slots: m.Slots, Leader: leader,
-		Leaving: leaving, Left: leaving && now-t.leavingSince > t.leaveLimit,
+		Leaving: t.leaving, Left: t.leaving && now-t.leavingSince > t.leaveLimit,
 		Failing: t.failingSince > 0, RestUntil: t.restUntil, Load: load.Total(),
 		Latency: t.fadedLatency(now), Place: t.place, PlaceAt: t.placeAt,
 	}
@@ -193,15 +193,16 @@
 	return max(leastLatency, t.latency/float64(1+max(0, now-t.answered)/latencyLife))
 }
 
-// leave notes whether the target is about to go.
-func (t *target) leave(leaving bool) {
+// leave notes whether the target is about to go, by a change that came after since; 0 when that is not known, so that it may have left long ago.
+func (t *target) leave(leaving bool, since clock.Millis) {
 	now := t.clk.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch {
-	case !leaving:
-		t.leavingSince = 0
-	case t.leavingSince == 0:
-		t.leavingSince = now
+	if leaving && !t.leaving {
+		t.leavingSince = since
+		if since == 0 {
+			t.leavingSince = now - t.leaveLimit - 1
+		}
 	}
+	t.leaving = leaving
 }
