--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/connection/relay"
 	"github.com/cactusfork/cactusfork/internal/connection/socket"
+	"github.com/cactusfork/cactusfork/internal/process/mirror"
 	store "github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/promotion"
@@ -75,6 +76,9 @@
 	// peerDialer opens connections to other daemons.
 	peerDialer *net.Dialer
 	peers      *peers
+	// mirrors asks other daemons for what they have read of the store, and copies is what this one has read, by prefix.
+	mirrors *mirror.Client
+	copies  map[store.Key]*mirror.Copy
 
 	// startedAt is when Run began.
 	startedAt clock.Millis
@@ -95,6 +99,8 @@
 		targets:    socket.Dialer(targetLimits),
 		peers:      newPeers(),
 		peerDialer: socket.Dialer(peerLimits),
+		mirrors:    mirror.NewClient(socket.Dialer(peerLimits).DialContext),
+		copies:     map[store.Key]*mirror.Copy{platform.ConfigPrefix: {}, platform.TargetsPrefix: {}},
 		claims:     make(map[group.ID]seenClaim),
 	}
 	d.countCalls()
@@ -187,6 +193,11 @@
 	if err != nil {
 		return fmt.Errorf("listen for health checks: %w", err)
 	}
+	if d.set.Daemon.MirrorAddress != "" {
+		if err := d.serveMirror(inner); err != nil {
+			return err
+		}
+	}
 	if d.set.Daemon.PeerAddress != "" {
 		if err := d.joinPeers(inner); err != nil {
 			return err
@@ -235,6 +246,18 @@
 	return nil
 }
 
+// serveMirror gives other daemons what this one has read of the store.
+func (d *Daemon) serveMirror(ctx context.Context) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", d.set.Daemon.MirrorAddress)
+	if err != nil {
+		return fmt.Errorf("listen as a mirror: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(mirror.Handler(d.clk, d.copies))
+	go d.serveHTTP(ctx, l, mux)
+	return nil
+}
+
 // drain fails the health check, and takes no new callers once the balancer has had time to see it.
 func (d *Daemon) drain(ctx context.Context, callers net.Listener) {
 	d.draining.Store(true)
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -7,7 +7,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusfork/cactusfork/internal/process/mirror"
 	store "github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/platform"
@@ -20,19 +22,34 @@
 	// configPause and entriesPause are the waits behind changes, in milliseconds, so that several come with one call.
 	configPause  clock.Millis = 150
 	entriesPause clock.Millis = 100
+	// mirrorWait is how long a mirror may wait for a change, in milliseconds: by then one that has stopped is noticed.
+	mirrorWait clock.Millis = 1000
+	// settleTime is for how long after its start a daemon may yet learn that it reads for others: twice the wait for the second list of daemons.
+	settleTime = 2 * secondPeers
+	// briefPart is the part of the usual wait, one in so many, that the watches of a mirror take, so that what it tells is young enough although they come on top.
+	briefPart = 3
+	// oldestSlack is how much older than two watches of a mirror what it tells may be, in milliseconds, before the store is asked itself.
+	oldestSlack clock.Millis = 400
 )
 
 // follower reads all objects under a prefix and then their changes.
 type follower struct {
-	d      *Daemon
-	store  *store.Store
+	d     *Daemon
+	store *store.Store
+	// brief is the store with watches that wait for a part of that, for a daemon that reads for others too.
+	brief  *store.Store
 	prefix store.Key
 	// pause is the wait behind changes.
 	pause clock.Millis
+	// oldest is how old what a mirror tells may be.
+	oldest clock.Millis
+	// copy is what other daemons read.
+	copy *mirror.Copy
+	// apply takes what was read.
 	apply func(ctx context.Context, r read)
 	up    bool
 	wait  clock.Millis
-	// synced is when the last call that succeeded was made; 0 before the first one.
+	// synced is when the last read that succeeded was asked of the store; 0 before the first one.
 	synced clock.Millis
 	// gap is true while changes may have come that no watch has told.
 	gap bool
@@ -49,43 +66,68 @@
 
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
+	// From 0 on everything is read.
+	from := store.Version(0)
 	for ctx.Err() == nil {
 		asked := f.d.clk.Now()
-		objects, from, err := f.store.List(ctx, f.prefix)
-		if !f.noted(ctx, err) {
-			continue
-		}
-		f.apply(ctx, read{objects: objects, whole: true, since: f.synced})
-		f.synced, f.gap = asked, false
-		f.watch(ctx, from)
-	}
-}
-
-// watch applies changes until the history that it needs is gone.
-func (f *follower) watch(ctx context.Context, from store.Version) {
-	for ctx.Err() == nil {
-		asked := f.d.clk.Now()
-		objects, next, err := f.store.Watch(ctx, f.prefix, from)
+		a, err := f.fetch(ctx, from)
 		if errors.Is(err, store.ErrHistoryGone) {
 			f.d.log.Info("history is gone", zap.String("prefix", string(f.prefix)), zap.Uint64("from", uint64(from)))
-			return
+			from, f.gap = 0, true
+			continue
 		}
 		if !f.noted(ctx, err) {
 			f.gap = true
 			continue
 		}
-		from = next
-		since := f.d.clk.Now()
-		if f.gap {
-			since = f.synced
+		from = a.Version
+		f.take(ctx, &a, asked)
+		if !a.Whole && len(a.Objects) > 0 {
+			_ = f.d.clk.Sleep(ctx, f.pause) // the end of ctx is seen by the loop
 		}
-		f.synced, f.gap = asked, false
-		if len(objects) == 0 {
-			continue
+	}
+}
+
+// take applies what was read by a call made at that time, and keeps it for other daemons.
+func (f *follower) take(ctx context.Context, a *mirror.Answer, asked clock.Millis) {
+	r := read{objects: a.Objects, whole: a.Whole, since: f.d.clk.Now() - a.Age}
+	if a.Whole || f.gap {
+		r.since = f.synced
+	}
+	f.synced, f.gap = max(f.synced, asked-a.Age), false
+	f.copy.Take(a, f.synced)
+	if a.Whole || len(a.Objects) > 0 {
+		f.apply(ctx, r)
+	}
+}
+
+// fetch reads what has changed past from, by a mirror where there is one, or else from the store.
+func (f *follower) fetch(ctx context.Context, from store.Version) (mirror.Answer, error) {
+	source := f.store
+	m, role := f.d.mirror()
+	switch role {
+	case placement.ByMirror:
+		a, err := f.d.mirrors.Read(ctx, m.Mirror, f.prefix, from, mirrorWait)
+		if err == nil && a.Age <= f.oldest {
+			return a, nil
 		}
-		f.apply(ctx, read{objects: objects, since: since})
-		_ = f.d.clk.Sleep(ctx, f.pause) // the end of ctx is seen by the loop
+		f.d.log.Warn("mirror does not serve", zap.String("mirror", string(m.ID)), zap.String("prefix", string(f.prefix)), zap.Int64("age-ms", int64(a.Age)), zap.Error(err))
+		f.d.peers.restMirror(m.ID, f.d.clk.Now()+peerRest)
+		// Others may ask this daemon by now.
+		source = f.brief
+	case placement.ForOthers:
+		source = f.brief
+	case placement.Alone:
+		if f.d.clk.Now() < f.d.startedAt+settleTime {
+			source = f.brief
+		}
+	}
+	if from == 0 {
+		objects, version, err := source.List(ctx, f.prefix)
+		return mirror.Answer{Objects: objects, Version: version, Whole: true}, err
 	}
+	objects, version, err := source.Watch(ctx, f.prefix, from)
+	return mirror.Answer{Objects: objects, Version: version}, err
 }
 
 // noted reports whether the call succeeded, and waits after a failure.
@@ -122,8 +164,14 @@
 }
 
 func (d *Daemon) followConfig(ctx context.Context) {
-	f := follower{d: d, store: d.dialStore(d.set.configWait(), false), prefix: platform.ConfigPrefix, pause: configPause, apply: d.applyConfig}
-	f.run(ctx)
+	d.follower(platform.ConfigPrefix, d.set.configWait(), configPause, d.applyConfig).run(ctx)
+}
+
+func (d *Daemon) follower(prefix store.Key, wait, pause clock.Millis, apply func(context.Context, read)) *follower {
+	return &follower{
+		d: d, store: d.dialStore(wait, false), brief: d.dialStore(wait/briefPart, false), prefix: prefix, pause: pause,
+		oldest: 2*wait/briefPart + oldestSlack, copy: d.copies[prefix], apply: apply,
+	}
 }
 
 func (d *Daemon) applyConfig(ctx context.Context, r read) {
@@ -141,8 +189,7 @@
 }
 
 func (d *Daemon) followTargets(ctx context.Context) {
-	f := follower{d: d, store: d.dialStore(d.set.entriesWait(), false), prefix: platform.TargetsPrefix, pause: entriesPause, apply: d.applyTargets}
-	f.run(ctx)
+	d.follower(platform.TargetsPrefix, d.set.entriesWait(), entriesPause, d.applyTargets).run(ctx)
 }
 
 func (d *Daemon) applyTargets(ctx context.Context, r read) {
--- a/internal/process/edge/peers.go
+++ b/internal/process/edge/peers.go
@@ -48,7 +48,9 @@
 
 // peerEntry is what a daemon says of itself in the store.
 type peerEntry struct {
-	Address    string           `json:"address"`
+	Address string `json:"address"`
+	// Mirror is where the daemon serves what it has read of the store; empty when it does not.
+	Mirror     string           `json:"mirror,omitempty"`
 	DataCentre group.DataCentre `json:"data-centre"`
 	Leaving    bool             `json:"leaving"`
 }
@@ -60,32 +62,50 @@
 	known atomic.Bool
 
 	mu sync.Mutex
-	// restUntil is until when a daemon is passed over.
-	restUntil map[group.DaemonID]clock.Millis
+	// restUntil is until when a daemon is passed over, and mirrorRest until when it is as a mirror.
+	restUntil  map[group.DaemonID]clock.Millis
+	mirrorRest map[group.DaemonID]clock.Millis
 	// refusedSince is since when the home of a group has only refused.
 	refusedSince map[group.ID]clock.Millis
 }
 
 func newPeers() *peers {
-	p := &peers{restUntil: make(map[group.DaemonID]clock.Millis), refusedSince: make(map[group.ID]clock.Millis)}
+	p := &peers{restUntil: make(map[group.DaemonID]clock.Millis), mirrorRest: make(map[group.DaemonID]clock.Millis), refusedSince: make(map[group.ID]clock.Millis)}
 	p.list.Store(&[]placement.Peer{})
 	return p
 }
 
 // awake returns the daemons that are not passed over now.
-func (p *peers) awake(now clock.Millis) []placement.Peer {
+func (p *peers) awake(now clock.Millis) []placement.Peer { return p.rested(p.restUntil, now) }
+
+func (p *peers) rested(until map[group.DaemonID]clock.Millis, now clock.Millis) []placement.Peer {
 	list := *p.list.Load()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	awake := make([]placement.Peer, 0, len(list))
 	for _, o := range list {
-		if now >= p.restUntil[o.ID] {
+		if now >= until[o.ID] {
 			awake = append(awake, o)
 		}
 	}
 	return awake
 }
 
+// restMirror passes a daemon over as a mirror for a while.
+func (p *peers) restMirror(id group.DaemonID, until clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mirrorRest[id] = until
+}
+
+// mirror returns how this daemon reads the store, and the daemon that does it for this one if there is one.
+func (d *Daemon) mirror() (placement.Peer, placement.Role) {
+	if d.set.Daemon.MirrorAddress == "" {
+		return placement.Peer{}, placement.Alone
+	}
+	return placement.Mirror(d.id, d.peers.rested(d.peers.mirrorRest, d.clk.Now()), group.DataCentre(d.set.Daemon.DataCentre))
+}
+
 func (p *peers) rest(id group.DaemonID, until clock.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -130,7 +150,7 @@
 			continue
 		}
 		if !e.Leaving && e.Address != "" {
-			list = append(list, placement.Peer{ID: group.DaemonID(o.Key[len(peerPrefix):]), DataCentre: e.DataCentre, Address: e.Address})
+			list = append(list, placement.Peer{ID: group.DaemonID(o.Key[len(peerPrefix):]), DataCentre: e.DataCentre, Address: e.Address, Mirror: e.Mirror})
 		}
 	}
 	return list
@@ -139,7 +159,7 @@
 // register writes the daemon's own entry until the store has taken it.
 func (d *Daemon) register(ctx context.Context, leaving bool) {
 	value, err := json.Marshal(peerEntry{
-		Address: d.set.Daemon.PeerAddress, DataCentre: group.DataCentre(d.set.Daemon.DataCentre), Leaving: leaving,
+		Address: d.set.Daemon.PeerAddress, Mirror: d.set.Daemon.MirrorAddress, DataCentre: group.DataCentre(d.set.Daemon.DataCentre), Leaving: leaving,
 	})
 	if err != nil {
 		d.warn("encode own entry", err)
--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -24,6 +24,7 @@
 	CallerAddress  string `ini:"caller-address" need:"yes" kind:"address"`
 	HealthAddress  string `ini:"health-address" need:"yes" kind:"address"`
 	PeerAddress    string `ini:"peer-address" kind:"address"`
+	MirrorAddress  string `ini:"mirror-address" kind:"address"`
 	MetricsAddress string `ini:"metrics-address" kind:"address"`
 	// Notice is how long a stopping daemon still takes callers while its health check fails.
 	Notice clock.Millis `ini:"notice" default:"2200ms" min:"0s" max:"1m"`
--- a/internal/request/placement/home.go
+++ b/internal/request/placement/home.go
@@ -23,6 +23,8 @@
 	ID         group.DaemonID
 	DataCentre group.DataCentre
 	Address    string
+	// Mirror is where the daemon serves what it has read of the store; empty when it does not.
+	Mirror string
 }
 
 // Homes returns the daemons of a data centre that serve a group for all others there, best first; none when every daemon can have connections of its own.
