placement: expect how long a replica lacks the floor, one proof of the lead

Behind each round a read also asked for a newer sample, which no replica holds.

Change: History.Behind works out from the samples for how long a replica that was seen a moment ago will lack the floor; Choose weighs that against the queue of the primary. A read keeps its floor when the primary only had no room. Samples of an earlier term are dropped with the first of a new one. The question whether a target leads is link.Conn.ProveLead in place of three copies, which keeps a connection whose begin was refused; the test for a time-out is socket.IsTimeout in place of five.

--- a/internal/connection/link/conn.go
+++ b/internal/connection/link/conn.go
@@ -93,8 +93,7 @@
 // Receive reads the next answer; a time-out leaves the connection as it is.
 func (c *Conn) Receive(until clock.Millis) (Reply, error) {
 	r, err := c.wire.Receive(c.clk.Deadline(until))
-	var late net.Error
-	if errors.As(err, &late) && late.Timeout() {
+	if socket.IsTimeout(err) {
 		return r, err
 	}
 	if err != nil {
@@ -157,6 +156,23 @@
 	}
 }
 
+// ProveLead asks the target to begin and end a transaction, which only the primary does and which takes no slot; it returns the answer to the begin, whose point holds all that was acknowledged before.
+func (c *Conn) ProveLead(until clock.Millis) (Reply, error) {
+	if err := c.Send(until, Command{Kind: Begin}, Command{Kind: Rollback}); err != nil {
+		return Reply{}, err
+	}
+	begun, err := c.Receive(until)
+	if err == nil {
+		begun.Body = nil // valid until the next answer only
+		_, err = c.Receive(until)
+	}
+	if err != nil {
+		c.Break()
+		return Reply{}, fmt.Errorf("prove the lead: %w", err)
+	}
+	return begun, nil
+}
+
 // usable reports whether an idle connection is open and nothing has come on it unasked.
 func (c *Conn) usable() bool {
 	return !c.broken && c.pending == 0 && !c.wire.Pending() && socket.Quiet(c.tcp)
--- a/internal/connection/relay/harness_test.go
+++ b/internal/connection/relay/harness_test.go
@@ -169,7 +169,9 @@
 	// said is what the caller was told last.
 	said     []string
 	outcomes []Outcome
-	lost     []error
+	// sampled are the times since when samples were asked for.
+	sampled []clock.Millis
+	lost    []error
 	// homesLost counts the homes that did not answer.
 	homesLost int
 }
@@ -261,6 +263,7 @@
 }
 
 func (b *bench) sample(_ context.Context, _ group.ID, since, _ clock.Millis) (placement.Sample, error) {
+	b.sampled = append(b.sampled, since)
 	for _, f := range b.targets {
 		if f.leads {
 			return placement.Sample{Point: f.point(), AskedAt: since}, nil
--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"net"
 
 	"github.com/cactusfork/cactusfork/internal/connection/link"
+	"github.com/cactusfork/cactusfork/internal/connection/socket"
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
@@ -39,6 +39,8 @@
 	outcome Outcome
 	// ran counts the attempts that ran and failed.
 	ran int
+	// leaderBusy is true once the primary had no room for the statement since all targets were last to be tried.
+	leaderBusy bool
 	// freshSince is since when a sample must have been asked for, where older ones did not help.
 	freshSince clock.Millis
 	// slow is true once an attempt was left behind because its answer did not come.
@@ -112,8 +114,11 @@
 		return false
 	}
 	n.work.Need.Tried = n.work.Need.Tried[:0]
-	// A floor of an earlier term may be held nowhere; a newer sample is of the present one.
-	n.freshSince = n.s.now()
+	if !n.leaderBusy {
+		// A floor of an earlier term may be held nowhere; a newer sample is of the present one, and waits for its primary.
+		n.freshSince = n.s.now()
+	}
+	n.leaderBusy = false
 	return n.s.seams().Clock.Sleep(ctx, busyPause) == nil
 }
 
@@ -224,27 +229,18 @@
 	s.written[g] = position.Max(s.written[g], p)
 }
 
-// provesLead asks the target to begin and end a transaction, which only the primary does and which takes no slot.
+// provesLead reports whether the target proves that it leads now.
 func (n *run) provesLead(l *Lease) bool {
 	asked := n.s.now()
-	until := min(n.until, asked+questionTimeout)
-	if err := l.Conn.Send(until, link.Command{Kind: link.Begin}, link.Command{Kind: link.Rollback}); err != nil {
-		n.s.seams().Lost(n.work.Group, l.Target, l.Conn.Sent(), err)
-		return false
-	}
-	r, err := l.Conn.Receive(until)
-	if err == nil && r.Completed {
-		proof := placement.Sample{Point: r.Point, AskedAt: asked}
-		if _, err = l.Conn.Receive(until); err == nil {
-			n.s.seams().Proven(n.work.Group, l.Target, proof)
-			return true
-		}
-	}
+	r, err := l.Conn.ProveLead(min(n.until, asked+questionTimeout))
 	if err != nil {
-		l.Conn.Break()
 		n.s.seams().Lost(n.work.Group, l.Target, l.Conn.Sent(), err)
 		return false
 	}
+	if r.Completed {
+		n.s.seams().Proven(n.work.Group, l.Target, placement.Sample{Point: r.Point, AskedAt: asked})
+		return true
+	}
 	n.s.seams().Answered(n.work.Group, l.Target, &r, n.s.now()-asked)
 	n.outcome.Cause = r.Code.String()
 	return false
@@ -267,16 +263,13 @@
 
 // mayWait reports whether an answer that has not come yet can still be waited for.
 func (n *run) mayWait(err error) bool {
-	var late net.Error
-	return errors.As(err, &late) && late.Timeout() && !n.writes && n.s.now() < n.until
+	return socket.IsTimeout(err) && !n.writes && n.s.now() < n.until
 }
 
 // lost settles an attempt whose answer did not come.
 func (n *run) lost(l *Lease, err error) step {
 	n.outcome.Cause = err.Error()
-	var late net.Error
-	timedOut := errors.As(err, &late) && late.Timeout()
-	if !timedOut || n.writes || n.s.now() >= n.until {
+	if !socket.IsTimeout(err) || n.writes || n.s.now() >= n.until {
 		l.Conn.Break()
 	}
 	n.s.seams().Lost(n.work.Group, l.Target, l.Conn.Sent(), err)
@@ -314,6 +307,7 @@
 		n.endLease(l)
 		return again
 	case statement.Busy, statement.Lagging, statement.ReadOnly, statement.WrongTarget, statement.TooManyConnections:
+		n.leaderBusy = n.leaderBusy || l.Leader && code == statement.Busy
 		n.work.Need.Tried = append(n.work.Need.Tried, l.Target)
 		n.endLease(l)
 		if n.s.now() < n.until {
--- a/internal/connection/relay/session_test.go
+++ b/internal/connection/relay/session_test.go
@@ -152,3 +152,39 @@
 		}
 	}
 }
+
+func TestOnlyAPrimaryThatLagsNeedsANewerSample(t *testing.T) {
+	tests := []struct {
+		name string
+		code statement.Code
+		want bool
+	}{
+		{"replica lags and primary is busy", statement.Busy, false},
+		{"replica lags and so does the primary", statement.Lagging, true},
+		{"replica lags and what led leads no more", statement.ReadOnly, true},
+	}
+	for _, tt := range tests {
+		b := newBench(t, topology.Bounded)
+		began := b.session.now()
+		b.targets[1].on = func(c *link.Command) (*link.Reply, error) {
+			return &link.Reply{Code: statement.Lagging, Point: b.targets[1].point()}, nil
+		}
+		refusals := 0
+		b.targets[0].on = func(c *link.Command) (*link.Reply, error) {
+			if refusals++; refusals > 1 {
+				return nil, nil
+			}
+			return &link.Reply{Code: tt.code, Point: b.targets[0].point()}, nil
+		}
+		if got, want := b.ask("READ a"), "body by p, I"; got != want {
+			t.Errorf("%s: got %q, want %q", tt.name, got, want)
+		}
+		newer := false
+		for _, since := range b.sampled {
+			newer = newer || since >= began
+		}
+		if newer != tt.want {
+			t.Errorf("%s: got a newer sample %t, want %t", tt.name, newer, tt.want)
+		}
+	}
+}
--- a/internal/connection/socket/quiet.go
+++ b/internal/connection/socket/quiet.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"net"
 	"syscall"
 )
@@ -27,3 +28,9 @@
 	})
 	return err == nil && open
 }
+
+// IsTimeout reports whether an error means that nothing was heard in time, as opposed to a refusal or an end.
+func IsTimeout(err error) bool {
+	var late net.Error
+	return errors.As(err, &late) && late.Timeout()
+}
--- a/internal/process/edge/acquire.go
+++ b/internal/process/edge/acquire.go
@@ -7,6 +7,7 @@
 
 	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/connection/relay"
+	"github.com/cactusfork/cactusfork/internal/connection/socket"
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
@@ -31,12 +32,12 @@
 		if g == nil {
 			return nil, &statement.Refusal{Code: statement.Busy, Text: "group has no targets, come back in 500 ms"}
 		}
-		i, why := placement.Choose(g.candidates(), d.clk.Now(), w.Need)
+		now := d.clk.Now()
+		i, why := placement.Choose(d.samples.candidates(g, w.Need.Floor, now), now, w.Need)
 		if why == placement.AllTried {
 			return nil, &statement.Refusal{Code: statement.Lagging, Text: "no target serves the statement now, come back in 100 ms"}
 		}
 		if i < 0 {
-			now := d.clk.Now()
 			if now+choosePause >= w.Until || w.Need.Leader && placement.Hopeless(g.outageSince(), now) {
 				return nil, &statement.Refusal{Code: statement.Busy, Text: string(why) + ", come back in 300 ms"}
 			}
@@ -115,7 +116,7 @@
 	if news {
 		d.warnTarget("target does not answer", g, id, err)
 	}
-	if !isTimeout(err) || fails || d.clk.Now()-sent >= leastSilence {
+	if !socket.IsTimeout(err) || fails || d.clk.Now()-sent >= leastSilence {
 		// What has rested since before that may be dead as well.
 		t.pool.Purge(sent)
 	}
--- a/internal/process/edge/probe.go
+++ b/internal/process/edge/probe.go
@@ -58,31 +58,29 @@
 	}
 	defer t.pool.Put(conn)
 	a := answer{heard: true}
-	if err := conn.Send(until, link.Command{Kind: link.Begin}, link.Command{Kind: link.Rollback}, link.Command{Kind: link.Status}); err != nil {
+	r, err := conn.ProveLead(until)
+	if err != nil {
 		d.lost(g.id, id, asked, err)
 		return a
 	}
-	var last link.Reply
-	for i := range 3 {
-		r, err := conn.Receive(until)
-		if err != nil {
-			conn.Break()
-			d.lost(g.id, id, asked, err)
-			return a
-		}
-		if i == 0 && r.Completed {
-			a.leads = true
-			d.proven(g.id, id, placement.Sample{Point: r.Point, AskedAt: asked})
-		} else if i == 0 && r.Code == statement.ReadOnly && g.leader == id {
-			d.control.tell(deposed{group: g.id, target: id})
-		}
-		t.took(&r, 0)
-		last = r
+	a.leads = r.Completed
+	if a.leads {
+		d.proven(g.id, id, placement.Sample{Point: r.Point, AskedAt: asked})
+	} else if r.Code == statement.ReadOnly && g.leader == id {
+		d.control.tell(deposed{group: g.id, target: id})
+	}
+	t.took(&r, 0)
+	r, err = conn.Run(until, nil, link.Command{Kind: link.Status})
+	if err != nil {
+		conn.Break()
+		d.lost(g.id, id, asked, err)
+		return a
 	}
-	if !last.Completed {
+	t.took(&r, 0)
+	if !r.Completed {
 		return a
 	}
-	report, err := platform.ParseStatus(last.Row)
+	report, err := platform.ParseStatus(r.Row)
 	if err != nil {
 		d.warn("status of a target", err)
 		return a
--- a/internal/process/edge/samples.go
+++ b/internal/process/edge/samples.go
@@ -5,7 +5,6 @@
 	"errors"
 	"sync"
 
-	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
@@ -61,6 +60,21 @@
 	return placement.Sample{}, e.done, ask
 }
 
+// candidates returns the group's targets, with how far each is expected to be behind the floor of a read.
+func (s *sampler) candidates(g *groupView, floor position.Point, now clock.Millis) []placement.Candidate {
+	list := g.candidates()
+	if floor == (position.Point{}) {
+		return list
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := &s.of(g.id).history
+	for i := range list {
+		list[i].Behind = h.Behind(list[i].Place, list[i].PlaceAt, floor, now)
+	}
+	return list
+}
+
 // term is the newest term of which a sample was seen.
 func (s *sampler) term(g group.ID) position.Term {
 	s.mu.Lock()
@@ -132,22 +146,14 @@
 	}
 	defer t.pool.Put(conn)
 	asked := d.clk.Now()
-	if err := conn.Send(until, link.Command{Kind: link.Begin}, link.Command{Kind: link.Rollback}); err != nil {
+	r, err := conn.ProveLead(until)
+	if err != nil {
 		return err
 	}
-	var refused error
-	for i := range 2 {
-		r, err := conn.Receive(until)
-		if err != nil {
-			conn.Break()
-			return err
-		}
-		d.answered(g, t.meta.Load().ID, &r, 0)
-		if i == 0 && r.Completed {
-			d.proven(g, t.meta.Load().ID, placement.Sample{Point: r.Point, AskedAt: asked})
-		} else if i == 0 {
-			refused = errDeposed
-		}
+	d.answered(g, t.meta.Load().ID, &r, 0)
+	if !r.Completed {
+		return errDeposed
 	}
-	return refused
+	d.proven(g, t.meta.Load().ID, placement.Sample{Point: r.Point, AskedAt: asked})
+	return nil
 }
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
 
 	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/connection/relay"
+	"github.com/cactusfork/cactusfork/internal/connection/socket"
 	"github.com/cactusfork/cactusfork/internal/request/admission"
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
@@ -124,7 +124,7 @@
 	now := t.clk.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.answered > sent || isTimeout(err) && now-sent < leastSilence {
+	if t.answered > sent || socket.IsTimeout(err) && now-sent < leastSilence {
 		return false, false
 	}
 	news = t.failingSince == 0
@@ -137,12 +137,6 @@
 	return news, true
 }
 
-// isTimeout reports whether nothing was heard in time, as opposed to a refusal.
-func isTimeout(err error) bool {
-	var late net.Error
-	return errors.As(err, &late) && late.Timeout()
-}
-
 // answeredSince reports whether the target has answered anything at or after at.
 func (t *target) answeredSince(at clock.Millis) bool {
 	t.mu.Lock()
@@ -173,7 +167,7 @@
 	now := t.clk.Now()
 	usual := min(t.usual(now), (w.Until-now)/usualPart)
 	leave, err := t.gate.Enter(ctx, admission.Ticket{
-		Weight: max(1, mostUrgent-w.Priority), Kind: kind, StartBy: max(1, w.InTime-usual), Deadline: w.Until - usual, Usual: usual,
+		Weight: max(1, mostUrgent-w.Priority), Kind: kind, StartBy: max(1, w.InTime-2*usual), Deadline: w.Until - usual, Usual: usual,
 	})
 	if err != nil {
 		return nil, &statement.Refusal{Code: statement.Busy, Text: err.Error() + ", come back in 100 ms"}
--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -41,6 +41,8 @@
 	// Place is the last point at which the target was seen, at PlaceAt.
 	Place   position.Point
 	PlaceAt clock.Millis
+	// Behind is for how long yet the target is expected to lack the floor.
+	Behind clock.Millis
 }
 
 // Need is what a statement asks of a target.
@@ -121,8 +123,8 @@
 	if c.DataCentre != n.DataCentre {
 		cost += farCost
 	}
-	if !c.Leader && c.Place.Before(n.Floor) && now-c.PlaceAt <= placeLife {
-		cost += behindCost
+	if !c.Leader && (c.Behind > 0 || c.Place.Before(n.Floor) && now-c.PlaceAt <= placeLife) {
+		cost += behindCost + float64(c.Behind)
 	}
 	if n.PreferLeader && !c.Leader {
 		cost += behindCost
--- a/internal/request/placement/choose_test.go
+++ b/internal/request/placement/choose_test.go
@@ -34,6 +34,8 @@
 		{"loaded target gives way", []Candidate{with(near, func(c *Candidate) { c.Load = 8 }), far}, Need{DataCentre: "a"}, "far", Chosen},
 		{"slow target gives way", []Candidate{with(near, func(c *Candidate) { c.Latency = 90 }), far}, Need{DataCentre: "a"}, "far", Chosen},
 		{"target behind the floor gives way", []Candidate{with(near, func(c *Candidate) { c.Place, c.PlaceAt = point(9), now }), far}, Need{DataCentre: "a", Floor: point(50)}, "far", Chosen},
+		{"busy leader before replicas that lag for longer", []Candidate{with(leader, func(c *Candidate) { c.Latency, c.Load = 90, 40 }), with(far, func(c *Candidate) { c.Behind = 4000 })}, Need{DataCentre: "a", Floor: point(50)}, "leader", Chosen},
+		{"replica that lags for a moment before a leader that is busier", []Candidate{with(leader, func(c *Candidate) { c.Latency, c.Load = 90, 40 }), with(far, func(c *Candidate) { c.Behind = 30 })}, Need{DataCentre: "a", Floor: point(50)}, "far", Chosen},
 		{"strong read prefers the leader", []Candidate{near, leader}, Need{DataCentre: "a", PreferLeader: true}, "leader", Chosen},
 		{"tried target is passed over", []Candidate{near, far}, Need{DataCentre: "a", Tried: []group.TargetID{"near"}}, "far", Chosen},
 		{"all tried", []Candidate{near}, Need{Tried: []group.TargetID{"near"}}, "", AllTried},
--- a/internal/request/placement/history_test.go
+++ b/internal/request/placement/history_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/position"
 )
 
 func TestHistoryGivesTheLowestFloorThatIsYoungEnough(t *testing.T) {
@@ -57,3 +58,56 @@
 		t.Errorf("got %d, want the replica once it may have caught up", i)
 	}
 }
+
+func TestFloorsAreOfTheLatestTerm(t *testing.T) {
+	var h History
+	for i := range 20 {
+		h.Add(Sample{Point: point(uint64(100 + i)), AskedAt: clock.Millis(1000 + 100*i)})
+	}
+	// The primary of the next term never received the last points.
+	first := Sample{Point: position.Point{Term: 2, Position: 110}, AskedAt: 3500}
+	h.Add(first)
+	h.Add(Sample{Point: position.Point{Term: 2, Position: 130}, AskedAt: 3700})
+	if got, ok := h.Oldest(1500); !ok || got != first {
+		t.Errorf("got %v, %t, want the first of the term, %v", got, ok, first)
+	}
+	// An answer of the replaced primary that came late.
+	h.Add(Sample{Point: point(125), AskedAt: 3300})
+	if got, ok := h.Oldest(1500); !ok || got != first {
+		t.Errorf("got %v, %t behind a late answer, want %v", got, ok, first)
+	}
+}
+
+func TestHowLongAReplicaIsBehind(t *testing.T) {
+	// The primary was at point n at 1000+10*n ms; it is 3000 ms now.
+	var h History
+	for i := range 200 {
+		h.Add(Sample{Point: point(uint64(i)), AskedAt: clock.Millis(1000 + 10*i)})
+	}
+	const now clock.Millis = 3000
+	tests := []struct {
+		name    string
+		place   uint64
+		placeAt clock.Millis
+		floor   uint64
+		want    clock.Millis
+	}{
+		{"holds the floor", 100, now, 100, 0},
+		{"one second behind, just seen", 50, now, 150, 1000},
+		{"one second behind, seen a moment ago", 50, now - 200, 150, 800},
+		{"was a moment behind and has caught up", 140, now - 200, 150, 0},
+		{"one second behind and not seen for a while", 50, now - placeLife - 1, 150, 0},
+		{"floor that no sample tells", 50, now, 900, 0},
+		{"never seen", 0, 0, 150, 0},
+	}
+	for _, tt := range tests {
+		p := point(tt.place)
+		if tt.placeAt == 0 {
+			p = position.Point{}
+		}
+		got := h.Behind(p, tt.placeAt, point(tt.floor), now)
+		if got < tt.want-historyStep || got > tt.want+historyStep || got > 0 != (tt.want > 0) {
+			t.Errorf("%s: got %d ms, want about %d", tt.name, got, tt.want)
+		}
+	}
+}
