link: open one connection to a target at a time

Cause: a burst opens several connections to a target at once, each of which holds one of two or three slots for 27 ms; behind a restart of all daemons statements waited for that up to 0.8 s.

Change: who finds no idle connection while one is opened waits for that or for one that comes free.

Tests: a burst of five opens one at a time; one that fails lets others try.

--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -65,6 +65,8 @@
 	idle   []*Conn
 	open   int
 	closed bool
+	// opening is true while a connection is opened: one at a time, as each takes a slot of the target for long, and those in use may come free before.
+	opening bool
 	// peak and lastPeak are the most connections in use at once in the present window and the one before.
 	peak, lastPeak int
 	windowEnd      clock.Millis
@@ -86,6 +88,7 @@
 		}
 		if wait == nil {
 			c, err = p.dial(ctx, until)
+			p.opened()
 			if err == nil || !errors.Is(err, ErrFull) {
 				return c, err
 			}
@@ -97,6 +100,14 @@
 	}
 }
 
+// opened lets another connection be opened.
+func (p *Pool) opened() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening = false
+	p.signal()
+}
+
 // Open opens a further connection, whatever rests in the pool: an answer on it shows that the target can be reached now.
 func (p *Pool) Open(ctx context.Context, until clock.Millis) (*Conn, error) {
 	p.mu.Lock()
@@ -142,13 +153,14 @@
 		c.Break()
 		p.open--
 	}
-	if p.open >= p.cfg.Maximum || p.cfg.Clock.Now() < p.fullUntil {
+	if p.open >= p.cfg.Maximum || p.opening || p.cfg.Clock.Now() < p.fullUntil {
 		if p.freed == nil {
 			p.freed = make(chan struct{})
 		}
 		return nil, p.freed, nil
 	}
 	p.open++
+	p.opening = true
 	p.used()
 	return nil, nil, nil
 }
--- a/internal/connection/link/pool_test.go
+++ b/internal/connection/link/pool_test.go
@@ -183,3 +183,56 @@
 		}
 	}
 }
+
+func TestBurstOpensOneConnectionAtATime(t *testing.T) {
+	f := &fakeWires{}
+	p := f.pool(clock.System(), 8)
+	started, proceed := make(chan struct{}, 8), make(chan struct{})
+	protocol := p.cfg.Protocol
+	p.cfg.Protocol = func(c net.Conn) Wire {
+		w := protocol(c)
+		w.Startup = func(group.ID, group.TargetID, time.Time) (Reply, error) {
+			started <- struct{}{}
+			<-proceed
+			return Reply{}, nil
+		}
+		return w
+	}
+	until := clock.System().Now() + 5*clock.Second
+	served := make(chan *Conn, 5)
+	for range cap(served) {
+		go func() {
+			c, err := p.Get(t.Context(), &Values{}, until)
+			if err != nil {
+				t.Errorf("got %v, want a connection", err)
+			}
+			served <- c
+		}()
+	}
+	<-started
+	select {
+	case <-started:
+		t.Error("got a second connection while the first is opened, want one at a time")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(proceed)
+	for range cap(served) {
+		p.Put(<-served)
+	}
+	if got := p.Opened(); got > cap(served) {
+		t.Errorf("got %d connections, want at most %d", got, cap(served))
+	}
+}
+
+func TestConnectionThatFailsToOpenLetsOthersTry(t *testing.T) {
+	f := &fakeWires{err: errors.New("cut")}
+	p := f.pool(clock.System(), 8)
+	for range 3 {
+		if _, err := p.Get(t.Context(), &Values{}, clock.System().Now()+clock.Second); !errors.Is(err, ErrUnreachable) {
+			t.Errorf("got %v, want %v", err, ErrUnreachable)
+		}
+	}
+	if f.opened != 3 {
+		t.Errorf("got %d tries, want 3", f.opened)
+	}
+}
