relay: let sessions go that an isolated daemon refuses

Cause: a daemon in a data centre that is cut off fails its health check and ends resting sessions once.

Change: while isolated, a session that was refused ends as soon as it rests outside a transaction, and resting ones are ended every second.

Test: TestDaemonThatIsAwayKeepsNoSessionThatItRefuses, fails without.

--- a/internal/connection/relay/forward.go
+++ b/internal/connection/relay/forward.go
@@ -84,6 +84,7 @@
 		n.deliver(r)
 		return
 	}
+	s.turnedAway = r.Code.NotRun()
 	n.outcome.Code, n.outcome.Cause = r.Code, r.Text
 	s.wire.Error(r.Code, r.Text)
 	s.wire.Ready(r.State, r.Point)
--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -164,6 +164,7 @@
 
 // deliver gives the caller the target's answer.
 func (n *run) deliver(r *link.Reply) {
+	n.s.turnedAway = false
 	n.s.wire.Body(r.Body)
 	n.s.wire.Ready(n.s.state(), r.Point)
 	n.report()
--- a/internal/connection/relay/server.go
+++ b/internal/connection/relay/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cactusfork/cactusfork/internal/request/retry"
 	"github.com/cactusfork/cactusfork/pkg/clock"
@@ -28,6 +29,8 @@
 	protocol func(net.Conn) Wire
 	// hedges bounds the reads that are tried elsewhere while their first attempt goes on.
 	hedges *retry.Budget
+	// away is true while callers are better served by another daemon.
+	away atomic.Bool
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
@@ -111,6 +114,9 @@
 	}
 }
 
+// SetAway says whether callers are better served by another daemon: until then, a session that was refused something ends as soon as it rests outside a transaction.
+func (s *Server) SetAway(away bool) { s.away.Store(away) }
+
 // Drain ends every session as soon as it rests outside a transaction, and waits for them until ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
 	s.mu.Lock()
--- a/internal/connection/relay/session.go
+++ b/internal/connection/relay/session.go
@@ -36,6 +36,8 @@
 	home *Home
 	// written is the point of the session's last commit in each group.
 	written map[group.ID]position.Point
+	// turnedAway is true once a statement was refused as not run, until one is served.
+	turnedAway bool
 
 	mu sync.Mutex
 	// resting is true while the session waits for its caller outside a transaction.
@@ -136,11 +138,11 @@
 
 // rest notes whether the session waits outside a transaction, and reports false when it has to end there.
 func (s *session) rest(resting bool) bool {
-	draining := s.server.isDraining()
+	ends := s.server.isDraining() || s.turnedAway && s.server.away.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.resting = resting
-	return !draining
+	return !ends
 }
 
 // interrupt ends the session if it rests.
@@ -192,6 +194,7 @@
 	if s.tx != nil {
 		s.giveUp()
 	}
+	s.turnedAway = code.NotRun()
 	s.wire.Error(code, text)
 	s.wire.Ready(s.state(), position.Point{})
 }
--- a/internal/connection/relay/session_test.go
+++ b/internal/connection/relay/session_test.go
@@ -188,3 +188,31 @@
 		}
 	}
 }
+
+func TestDaemonThatIsAwayKeepsNoSessionThatItRefuses(t *testing.T) {
+	tests := []struct {
+		name   string
+		away   bool
+		refuse bool
+		talk   string
+		want   bool
+	}{
+		{"refused by a daemon that is away", true, true, "READ a", false},
+		{"refused by another", false, true, "READ a", true},
+		{"served by a daemon that is away", true, false, "READ a", true},
+		{"transaction begun at a daemon that is away", true, true, "BEGIN", true},
+	}
+	for _, tt := range tests {
+		b := newBench(t, topology.Bounded)
+		b.session.server.SetAway(tt.away)
+		if tt.refuse {
+			for _, f := range b.targets {
+				f.on = func(*link.Command) (*link.Reply, error) { return &link.Reply{Code: statement.Busy, Point: f.point()}, nil }
+			}
+		}
+		b.ask(tt.talk)
+		if got := b.session.rest(true); got != tt.want {
+			t.Errorf("%s: got the session go on %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -20,6 +20,8 @@
 	inbox = 1024
 	// tick is the time between two looks at the groups, in milliseconds.
 	tick clock.Millis = 100
+	// shedEvery is the time between two ends of all resting sessions while the daemon is isolated: that between two questions of the balancer.
+	shedEvery = clock.Second
 	// lapseGrace is how long a target is kept whose entry is gone: entries that lapsed while the store was away come back about 2 s after its return.
 	lapseGrace clock.Millis = 2500
 )
@@ -99,6 +101,8 @@
 	groups map[group.ID]*groupState
 	// storeSince is since when the store has answered; 0 while it does not.
 	storeSince clock.Millis
+	// shedAt is when resting sessions are ended next while the daemon is isolated.
+	shedAt clock.Millis
 }
 
 func newControl(d *Daemon) *control {
@@ -338,10 +342,17 @@
 	}
 	isolated := placement.Isolated(since, now)
 	if c.d.isolated.Swap(isolated) == isolated {
+		if isolated && now >= c.shedAt {
+			// Those that came before the balancer knew hold their connections.
+			c.shedAt = now + shedEvery
+			c.d.server.Shed()
+		}
 		return
 	}
+	c.d.server.SetAway(isolated)
 	c.d.log.Warn("isolation", zap.Bool("isolated", isolated), zap.Any("without-primary-since", since), zap.Int("sessions", c.d.server.Len()))
 	if isolated {
+		c.shedAt = now + shedEvery
 		c.d.server.Shed()
 	}
 }
