edge: see the store's return, and being cut off, at once

Change: the first watch behind a failure does not wait; only answers that need a target tell of the group; while one primary fails the others that were not heard of for 300 ms are asked, without a slot.

Tests: TestReturnOfTheStoreIsKnownAtOnce, TestOneLostPrimaryHasTheOthersAsked, TestOnlyAnswersThatNeedATargetTellOfTheGroup, each fails without.

--- a/internal/connection/relay/forward.go
+++ b/internal/connection/relay/forward.go
@@ -63,7 +63,9 @@
 // relayReply gives the caller the home's answer and follows the state that it tells.
 func (n *run) relayReply(r *link.Reply) {
 	s := n.s
-	s.seams().HomeAnswered(n.work.Group, r.Code.NotRun())
+	if n.needsTarget() {
+		s.seams().HomeAnswered(n.work.Group, r.Code.NotRun())
+	}
 	if r.Completed {
 		n.follow()
 	}
@@ -91,6 +93,16 @@
 	n.report()
 }
 
+// needsTarget reports whether the home had to ask a target for the answer, so that it tells of the group.
+func (n *run) needsTarget() bool {
+	switch n.st.Verb {
+	case statement.Read, statement.Write, statement.Execute, statement.Commit:
+		return true
+	default:
+		return false
+	}
+}
+
 // ends reports whether the statement keeps what was written.
 func (n *run) ends() bool {
 	return n.st.Verb == statement.Commit || n.writes && n.s.tx == nil
--- a/internal/connection/relay/forward_test.go
+++ b/internal/connection/relay/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,3 +118,18 @@
 		t.Errorf("got a home asked for %d times, want never", asked)
 	}
 }
+
+func TestOnlyAnswersThatNeedATargetTellOfTheGroup(t *testing.T) {
+	b := newBench(t, topology.Strong)
+	withHome(b)
+	for _, text := range []string{"SET x 1", "PREPARE s READ q", "BEGIN", "ROLLBACK", "DEALLOC s"} {
+		b.ask(text)
+	}
+	if len(b.homeSaid) != 0 {
+		t.Errorf("got %v told of the group, want nothing by what the home answers itself", b.homeSaid)
+	}
+	b.ask("READ a")
+	if want := []bool{false}; !slices.Equal(b.homeSaid, want) {
+		t.Errorf("got %v, want %v", b.homeSaid, want)
+	}
+}
--- a/internal/connection/relay/session_test.go
+++ b/internal/connection/relay/session_test.go
@@ -207,7 +207,9 @@
 		b.session.server.SetAway(tt.away)
 		if tt.refuse {
 			for _, f := range b.targets {
-				f.on = func(*link.Command) (*link.Reply, error) { return &link.Reply{Code: statement.Busy, Point: f.point()}, nil }
+				f.on = func(*link.Command) (*link.Reply, error) {
+					return &link.Reply{Code: statement.Busy, Point: f.point()}, nil
+				}
 			}
 		}
 		b.ask(tt.talk)
--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -22,6 +22,8 @@
 	tick clock.Millis = 100
 	// shedEvery is the time between two ends of all resting sessions while the daemon is isolated: that between two questions of the balancer.
 	shedEvery = clock.Second
+	// suspectAge is for how long a primary's last answer shows that it can be reached while another cannot, in milliseconds.
+	suspectAge clock.Millis = 300
 	// lapseGrace is how long a target is kept whose entry is gone: entries that lapsed while the store was away come back about 2 s after its return.
 	lapseGrace clock.Millis = 2500
 )
@@ -301,10 +303,34 @@
 	for _, g := range c.groups {
 		c.watch(ctx, g, now)
 	}
+	c.suspect(ctx, now)
 	c.isolate(now)
 	c.share()
 }
 
+// suspect asks the primaries that were not heard of lately while another group's primary fails: what cuts this daemon off from one may cut it off from all, and it must not wait for traffic to show that.
+func (c *control) suspect(ctx context.Context, now clock.Millis) {
+	failing := false
+	for _, g := range c.groups {
+		failing = failing || g.action == promotion.Probe
+	}
+	if !failing {
+		return
+	}
+	for _, g := range c.groups {
+		m := g.members[g.leader]
+		// A daemon that forwards a group's sessions has no connections to its targets.
+		if m == nil || g.action != promotion.Nothing || g.probing || g.changing || m.pool.Opened() == 0 || m.answeredSince(now-suspectAge) {
+			continue
+		}
+		g.probing = true
+		go func() {
+			c.d.confirm(ctx, g.id, m.target)
+			c.send(ctx, probed{group: g.id})
+		}()
+	}
+}
+
 // share bounds what this daemon has at work at each target where a group has few homes.
 func (c *control) share() {
 	if c.config == nil {
--- a/internal/process/edge/daemon_test.go
+++ b/internal/process/edge/daemon_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/platform/standin"
 )
 
@@ -275,3 +276,40 @@
 		t.Errorf("got %d daemons with connections to the primary, want 1", homes)
 	}
 }
+
+func TestReturnOfTheStoreIsKnownAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.drain = 30 * clock.Second // so that watches on targets wait for long
+	d := w.start("front-1")
+	w.store.Break(func(*http.Request) standin.Fault { return standin.Fault{Status: http.StatusServiceUnavailable} })
+	w.eventually("the store is lost", func() bool { return !d.storeUp.Load() })
+	w.store.Break(nil)
+	back := time.Now()
+	w.eventually("the store is back", func() bool { return d.storeUp.Load() })
+	// One pause between two tries, and the time of a call.
+	limit := (lastRetry + lastRetry/2).Duration() + 500*time.Millisecond
+	if took := time.Since(back); took > limit {
+		t.Errorf("got the store noticed after %v, want %v at most: a watch waits %d ms", took, limit, d.set.entriesWait())
+	}
+}
+
+func TestOneLostPrimaryHasTheOthersAsked(t *testing.T) {
+	w := newWorld(t)
+	other, err := standin.NewGroup(t.Context(), w.store, "h", 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(other.Close)
+	w.store.Set("config", "main", configWith(4, "h"))
+	d := w.start("front-1")
+	w.eventually("the second group is configured", func() bool { return d.view.Load().config.Version == 4 })
+	d.connect("entries").ask("WRITE a 1")
+	d.connect("h-entries").ask("WRITE a 1")
+	time.Sleep(2 * suspectAge.Duration())
+	// Nothing is asked of the second group any more.
+	w.group.Primary().Silence(true)
+	other.Primary().Silence(true)
+	c := d.connect("entries")
+	go c.ask("WRITE b 1")
+	w.eventually("the second group's primary is found silent", func() bool { return d.view.Load().groups["h"].outageSince() > 0 })
+}
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -37,7 +37,9 @@
 	d     *Daemon
 	store *store.Store
 	// brief is the store with watches that wait for a part of that, for a daemon that reads for others too.
-	brief  *store.Store
+	brief *store.Store
+	// quick is the store with watches that do not wait.
+	quick  *store.Store
 	prefix store.Key
 	// pause is the wait behind changes.
 	pause clock.Millis
@@ -103,6 +105,11 @@
 
 // fetch reads what has changed past from, by a mirror where there is one, or else from the store.
 func (f *follower) fetch(ctx context.Context, from store.Version) (mirror.Answer, error) {
+	if from > 0 && !f.up {
+		// A long watch would tell only at its end that the store is back.
+		objects, version, err := f.quick.Watch(ctx, f.prefix, from)
+		return mirror.Answer{Objects: objects, Version: version}, err
+	}
 	source := f.store
 	m, role := f.d.mirror()
 	switch role {
@@ -169,7 +176,7 @@
 
 func (d *Daemon) follower(prefix store.Key, wait, pause clock.Millis, apply func(context.Context, read)) *follower {
 	return &follower{
-		d: d, store: d.dialStore(wait, false), brief: d.dialStore(wait/briefPart, false), prefix: prefix, pause: pause,
+		d: d, store: d.dialStore(wait, false), brief: d.dialStore(wait/briefPart, false), quick: d.dialStore(0, false), prefix: prefix, pause: pause,
 		oldest: 2*wait/briefPart + oldestSlack, copy: d.copies[prefix], apply: apply,
 	}
 }
--- a/internal/process/edge/harness_test.go
+++ b/internal/process/edge/harness_test.go
@@ -23,6 +23,8 @@
 	t     *testing.T
 	store *standin.Store
 	group *standin.Group
+	// drain is how long a leaving target may be given work.
+	drain clock.Millis
 }
 
 // config is the operator's configuration of the given version; drop leaves out the route to "gone".
@@ -45,9 +47,20 @@
 	}
 }
 
+// configWith is a configuration with a second group and a route "GROUP-entries" to it.
+func configWith(version int, group string) map[string]any {
+	c := config(version, false)
+	c["Routes"] = append(c["Routes"].([]any), map[string]any{
+		"Name": "r-" + group, "Host": group + "-entries", "PathPrefix": "/", "Type": "primary", "TimeoutMs": 3000, "SloMs": 400,
+		"Priority": 1, "Service": group, "MaxStalenessMs": 1500,
+	})
+	c["Services"] = append(c["Services"].([]any), map[string]any{"Name": group, "MaxConns": 33, "SyncReplicas": 0})
+	return c
+}
+
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	w := &world{t: t, store: standin.NewStore()}
+	w := &world{t: t, store: standin.NewStore(), drain: 7000}
 	t.Cleanup(w.store.Close)
 	w.store.Set("config", "main", config(3, false))
 	g, err := standin.NewGroup(t.Context(), w.store, "g", 3)
@@ -83,7 +96,7 @@
 	set := &Settings{
 		Daemon: DaemonSettings{
 			ID: id, DataCentre: "here", CallerAddress: freeAddress(w.t), HealthAddress: freeAddress(w.t), PeerAddress: freeAddress(w.t), MirrorAddress: freeAddress(w.t),
-			Notice: 50, Drain: 7000, Grace: 4000,
+			Notice: 50, Drain: w.drain, Grace: 4000,
 		},
 		Platform: PlatformSettings{StoreAddress: w.store.Address(), DutyAddress: w.store.Address(), Timeout: 1000, ConfigApply: 450},
 		Limits:   LimitSettings{Memory: 1024, Descriptors: 4096},
--- a/internal/process/edge/samples.go
+++ b/internal/process/edge/samples.go
@@ -126,15 +126,21 @@
 		_ = d.clk.Sleep(ctx, samplePause) // the end of ctx is seen by those who wait
 		return
 	}
-	asked := d.clk.Now()
-	if err := d.proveLead(ctx, g, t); err != nil {
-		if !errors.Is(err, errDeposed) {
-			d.lost(g, t.meta.Load().ID, asked, err)
-		}
+	if !d.confirm(ctx, g, t) {
 		_ = d.clk.Sleep(ctx, samplePause) // the end of ctx is seen by those who wait
 	}
 }
 
+// confirm reports whether a target proves that it leads, and notes when it cannot be asked.
+func (d *Daemon) confirm(ctx context.Context, g group.ID, t *target) bool {
+	asked := d.clk.Now()
+	err := d.proveLead(ctx, g, t)
+	if err != nil && !errors.Is(err, errDeposed) {
+		d.lost(g, t.meta.Load().ID, asked, err)
+	}
+	return err == nil
+}
+
 var errDeposed = errors.New("target does not lead")
 
 // proveLead asks a target to begin and end a transaction, which only the primary does.
