placement: let isolation last until most groups have a primary again

And a daemon that starts asked a mirror for its first list, which behind a loss of power starts as well.

Change: Isolated has a hysteresis; the first read is from the store.

--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -366,7 +366,7 @@
 			since = append(since, max(g.outageSince(), c.d.peers.outage(id)))
 		}
 	}
-	isolated := placement.Isolated(since, now)
+	isolated := placement.Isolated(since, now, c.d.isolated.Load())
 	if c.d.isolated.Swap(isolated) == isolated {
 		if isolated && now >= c.shedAt {
 			// Those that came before the balancer knew hold their connections.
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -112,6 +112,10 @@
 	}
 	source := f.store
 	m, role := f.d.mirror()
+	if from == 0 {
+		// Behind a loss of power the mirrors start too.
+		role = placement.Alone
+	}
 	switch role {
 	case placement.ByMirror:
 		a, err := f.d.mirrors.Read(ctx, m.Mirror, f.prefix, from, mirrorWait)
--- a/internal/request/placement/choose_test.go
+++ b/internal/request/placement/choose_test.go
@@ -76,17 +76,21 @@
 	tests := []struct {
 		name  string
 		since []clock.Millis
-		want  bool
+		// already is true for a daemon that was isolated before.
+		already bool
+		want    bool
 	}{
-		{"no groups", nil, false},
-		{"all have a primary", []clock.Millis{0, 0, 0}, false},
-		{"one group has none", []clock.Millis{1_000, 0, 0}, false},
-		{"most groups have none", []clock.Millis{1_000, 1_000, 0}, true},
-		{"most groups have just lost theirs", []clock.Millis{9_500, 9_500, 0}, false},
-		{"most groups have lost theirs for a while", []clock.Millis{9_300, 9_300, 0}, true},
+		{"no groups", nil, false, false},
+		{"all have a primary", []clock.Millis{0, 0, 0}, false, false},
+		{"one group has none", []clock.Millis{1_000, 0, 0}, false, false},
+		{"most groups have none", []clock.Millis{1_000, 1_000, 0}, false, true},
+		{"most groups have just lost theirs", []clock.Millis{9_500, 9_500, 0}, false, false},
+		{"most groups have lost theirs for a while", []clock.Millis{9_300, 9_300, 0}, false, true},
+		{"most groups lose theirs again for a moment", []clock.Millis{9_990, 9_300, 0}, true, true},
+		{"most groups have theirs again", []clock.Millis{0, 9_300, 0}, true, false},
 	}
 	for _, tt := range tests {
-		if got := Isolated(tt.since, 10_000); got != tt.want {
+		if got := Isolated(tt.since, 10_000, tt.already); got != tt.want {
 			t.Errorf("%s: got %t, want %t", tt.name, got, tt.want)
 		}
 	}
--- a/internal/request/placement/outage.go
+++ b/internal/request/placement/outage.go
@@ -8,11 +8,15 @@
 // isolationLimit is how long most groups must be without a primary before this daemon is held to be cut off, in milliseconds.
 const isolationLimit clock.Millis = 600
 
-// Isolated reports whether a daemon that sees these groups without a primary since then (0: with one) had better leave its callers to other daemons.
-func Isolated(since []clock.Millis, now clock.Millis) bool {
+// Isolated reports whether a daemon that sees these groups without a primary since then (0: with one) had better leave its callers to other daemons; one that did already goes on until most groups have a primary again.
+func Isolated(since []clock.Millis, now clock.Millis, already bool) bool {
+	limit := isolationLimit
+	if already {
+		limit = 0
+	}
 	out := 0
 	for _, t := range since {
-		if t > 0 && now-t > isolationLimit {
+		if t > 0 && now-t >= limit {
 			out++
 		}
 	}
