--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -46,7 +46,10 @@
 	Address string
 	// Maximum is how many connections this daemon may have open.
 	Maximum int
-	Clock   *clock.Clock
+	// Early is how many it may have open until EarlyUntil, while the target may still count those of daemons that have lost power.
+	Early      int
+	EarlyUntil clock.Millis
+	Clock      *clock.Clock
 	// Dial opens a connection.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Protocol speaks on an open connection.
@@ -153,7 +156,7 @@
 		c.Break()
 		p.open--
 	}
-	if p.open >= p.cfg.Maximum || p.opening || p.cfg.Clock.Now() < p.fullUntil {
+	if p.open >= p.maximum() || p.opening || p.cfg.Clock.Now() < p.fullUntil {
 		if p.freed == nil {
 			p.freed = make(chan struct{})
 		}
@@ -165,6 +168,14 @@
 	return nil, nil, nil
 }
 
+// maximum is how many connections may be open now.
+func (p *Pool) maximum() int {
+	if p.cfg.Clock.Now() < p.cfg.EarlyUntil {
+		return min(p.cfg.Early, p.cfg.Maximum)
+	}
+	return p.cfg.Maximum
+}
+
 // used notes how many connections are in use; p.mu is held.
 func (p *Pool) used() { p.peak = max(p.peak, p.open-len(p.idle)) }
 
--- a/internal/connection/link/pool_test.go
+++ b/internal/connection/link/pool_test.go
@@ -236,3 +236,22 @@
 		t.Errorf("got %d tries, want 3", f.opened)
 	}
 }
+
+func TestFewConnectionsAreOpenedAtFirst(t *testing.T) {
+	m := clock.NewManual(1000)
+	f := &fakeWires{}
+	p := f.pool(&m.Clock, 8)
+	p.cfg.Early, p.cfg.EarlyUntil = 2, 4000
+	for range 2 {
+		if _, err := p.Get(t.Context(), &Values{}, 1000); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := p.Get(t.Context(), &Values{}, 1000); !errors.Is(err, ErrFull) {
+		t.Errorf("got %v at first, want %v", err, ErrFull)
+	}
+	m.Advance(3000)
+	if _, err := p.Get(t.Context(), &Values{}, 5000); err != nil {
+		t.Errorf("got %v later, want a connection", err)
+	}
+}
