edge: count an outage told by a home from when the refused statement came

Change: the outage began no later than the refused statement came, nor before the home last served one. Test: TestSinceWhenAHomeServesNothing.

--- a/internal/connection/relay/forward.go
+++ b/internal/connection/relay/forward.go
@@ -64,7 +64,7 @@
 func (n *run) relayReply(r *link.Reply) {
 	s := n.s
 	if n.needsTarget() {
-		s.seams().HomeAnswered(n.work.Group, r.Code.NotRun())
+		s.seams().HomeAnswered(n.work.Group, n.since, r.Code.NotRun())
 	}
 	if r.Completed {
 		n.follow()
--- a/internal/connection/relay/harness_test.go
+++ b/internal/connection/relay/harness_test.go
@@ -209,7 +209,7 @@
 		Answered:        func(group.ID, group.TargetID, *link.Reply, clock.Millis) {},
 		Lost:            func(_ group.ID, _ group.TargetID, _ clock.Millis, err error) { b.lost = append(b.lost, err) },
 		Home:            func(context.Context, group.ID, topology.Database) *Home { return nil },
-		HomeAnswered:    func(_ group.ID, refused bool) { b.homeSaid = append(b.homeSaid, refused) },
+		HomeAnswered:    func(_ group.ID, _ clock.Millis, refused bool) { b.homeSaid = append(b.homeSaid, refused) },
 		HomeLost:        func(group.DaemonID) { b.homesLost++ },
 		Report:          func(o *Outcome) { b.outcomes = append(b.outcomes, *o) },
 	}, nil)
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -76,8 +76,8 @@
 	Lost func(g group.ID, t group.TargetID, sent clock.Millis, err error)
 	// Home opens a session at the daemon that serves the group for this one; nil when this daemon serves it.
 	Home func(ctx context.Context, g group.ID, d topology.Database) *Home
-	// HomeAnswered takes an answer of the group's home: whether it refused, as not run.
-	HomeAnswered func(g group.ID, refused bool)
+	// HomeAnswered takes an answer of the group's home to a statement that came at that time: whether it refused, as not run.
+	HomeAnswered func(g group.ID, arrived clock.Millis, refused bool)
 	// HomeLost takes that a home did not answer.
 	HomeLost func(d group.DaemonID)
 	// Report takes the outcome of every statement.
--- a/internal/process/edge/peers.go
+++ b/internal/process/edge/peers.go
@@ -65,12 +65,16 @@
 	// restUntil is until when a daemon is passed over, and mirrorRest until when it is as a mirror.
 	restUntil  map[group.DaemonID]clock.Millis
 	mirrorRest map[group.DaemonID]clock.Millis
-	// refusedSince is since when the home of a group has only refused.
+	// refusedSince is since when the home of a group has only refused, and servedAt when it last did not.
 	refusedSince map[group.ID]clock.Millis
+	servedAt     map[group.ID]clock.Millis
 }
 
 func newPeers() *peers {
-	p := &peers{restUntil: make(map[group.DaemonID]clock.Millis), mirrorRest: make(map[group.DaemonID]clock.Millis), refusedSince: make(map[group.ID]clock.Millis)}
+	p := &peers{
+		restUntil: make(map[group.DaemonID]clock.Millis), mirrorRest: make(map[group.DaemonID]clock.Millis),
+		refusedSince: make(map[group.ID]clock.Millis), servedAt: make(map[group.ID]clock.Millis),
+	}
 	p.list.Store(&[]placement.Peer{})
 	return p
 }
@@ -240,15 +244,16 @@
 	return &relay.Home{ID: p.ID, Wire: w, TCP: tcp}, nil
 }
 
-// homeAnswered notes since when a group's home has only refused.
-func (d *Daemon) homeAnswered(g group.ID, refused bool) {
+// homeAnswered notes since when a group's home has served nothing: a home refuses a statement only after it has waited for a primary, so the outage began no later than the statement came.
+func (d *Daemon) homeAnswered(g group.ID, arrived clock.Millis, refused bool) {
 	d.peers.mu.Lock()
 	defer d.peers.mu.Unlock()
 	switch {
 	case !refused:
 		delete(d.peers.refusedSince, g)
+		d.peers.servedAt[g] = d.clk.Now()
 	case d.peers.refusedSince[g] == 0:
-		d.peers.refusedSince[g] = d.clk.Now()
+		d.peers.refusedSince[g] = max(arrived, d.peers.servedAt[g])
 	}
 }
 
