edge: hold a daemon for cut off only where targets do not answer either

Change: a group counts as lost for isolation only while most of its targets do not answer. Test: TestPrimariesThatFailAloneDoNotCutADaemonOff (the second case is isolated on the old rule).

--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -363,7 +363,7 @@
 	v := c.d.view.Load()
 	for id, g := range v.groups {
 		if c.configured(id) {
-			since = append(since, max(g.outageSince(), c.d.peers.outage(id)))
+			since = append(since, max(g.cutOffSince(), c.d.peers.outage(id)))
 		}
 	}
 	isolated := placement.Isolated(since, now, c.d.isolated.Load())
--- a/internal/process/edge/view.go
+++ b/internal/process/edge/view.go
@@ -30,6 +30,20 @@
 	return g.leaderless
 }
 
+// cutOffSince is since when neither the group's primary nor most of its targets answer this daemon; 0 while they do: a primary that fails alone is replaced, and then serves callers here as well as elsewhere.
+func (g *groupView) cutOffSince() clock.Millis {
+	failing := 0
+	for _, t := range g.targets {
+		if t.outageSince() > 0 {
+			failing++
+		}
+	}
+	if 2*failing <= len(g.targets) {
+		return 0
+	}
+	return g.outageSince()
+}
+
 func (g *groupView) candidates() []placement.Candidate {
 	list := make([]placement.Candidate, len(g.targets))
 	for i, t := range g.targets {
