edge: apply the last change of each entry, and audit what lacks for long

Cause: one answer of the store that holds the deletion of an entry and its creation again was split into entries and removed ones, and the removed ones were applied behind. The copy that a mirror gives others had the same hole: it told the creation and the deletion before it together, in that order.

Change: only the last change of each object in an answer counts, and a copy forgets a deletion once the object is there again. Configurations and the list of daemons do not have the hole: each answer holds them in whole, and versions order them.

--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -104,11 +104,12 @@
 	// storeSince is since when the store has answered; 0 while it does not.
 	storeSince clock.Millis
 	// shedAt is when resting sessions are ended next while the daemon is isolated.
-	shedAt clock.Millis
+	shedAt  clock.Millis
+	auditor auditor
 }
 
 func newControl(d *Daemon) *control {
-	return &control{d: d, in: make(chan any, inbox), groups: make(map[group.ID]*groupState)}
+	return &control{d: d, in: make(chan any, inbox), groups: make(map[group.ID]*groupState), auditor: auditor{most: make(map[group.ID]int)}}
 }
 
 // tell hands a message to the loop; one about traffic is dropped when the loop is behind, as the next will say the same.
@@ -306,6 +307,7 @@
 	c.suspect(ctx, now)
 	c.isolate(now)
 	c.share()
+	c.audit(now)
 }
 
 // suspect asks the primaries that were not heard of lately while another group's primary fails: what cuts this daemon off from one may cut it off from all, and it must not wait for traffic to show that.
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -73,7 +73,9 @@
 	server    *relay.Server
 	view      atomic.Pointer[view]
 	storeUp   atomic.Bool
-	draining  atomic.Bool
+	// entries follows the targets' entries.
+	entries  atomic.Pointer[follower]
+	draining atomic.Bool
 	// isolated is true while the daemon is cut off from most primaries.
 	isolated atomic.Bool
 	targets  *net.Dialer
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -39,8 +40,12 @@
 	// brief is the store with watches that wait for a part of that, for a daemon that reads for others too.
 	brief *store.Store
 	// quick is the store with watches that do not wait.
-	quick  *store.Store
+	quick *store.Store
+	// stale is the store with lists that may be seconds old, which cost little.
+	stale  *store.Store
 	prefix store.Key
+	// doubted is set when what is believed of the objects had better be read anew.
+	doubted atomic.Bool
 	// pause is the wait behind changes.
 	pause clock.Millis
 	// oldest is how old what a mirror tells may be.
@@ -71,6 +76,9 @@
 	// From 0 on everything is read.
 	from := store.Version(0)
 	for ctx.Err() == nil {
+		if from > 0 && f.up && f.doubted.Swap(false) {
+			f.audit(ctx, from)
+		}
 		asked := f.d.clk.Now()
 		a, err := f.fetch(ctx, from)
 		if errors.Is(err, store.ErrHistoryGone) {
@@ -92,6 +100,7 @@
 
 // take applies what was read by a call made at that time, and keeps it for other daemons.
 func (f *follower) take(ctx context.Context, a *mirror.Answer, asked clock.Millis) {
+	a.Objects = lastChanges(a.Objects)
 	r := read{objects: a.Objects, whole: a.Whole, since: f.d.clk.Now() - a.Age}
 	if a.Whole || f.gap {
 		r.since = f.synced
@@ -103,6 +112,35 @@
 	}
 }
 
+// audit replaces what is believed by a list, unless that is older than what was read up to from.
+func (f *follower) audit(ctx context.Context, from store.Version) {
+	objects, version, err := f.stale.List(ctx, f.prefix)
+	f.d.log.Info("audit", zap.String("prefix", string(f.prefix)), zap.Int("objects", len(objects)), zap.Uint64("version", uint64(version)), zap.Uint64("from", uint64(from)), zap.Error(err))
+	if err != nil || version < from {
+		return // the doubt comes again
+	}
+	// The list is at least as new as the last read, and from that point on the changes are read again.
+	f.take(ctx, &mirror.Answer{Objects: objects, Version: from, Whole: true, Age: f.d.clk.Now() - f.synced}, f.d.clk.Now())
+}
+
+// lastChanges keeps the last change of each object, so that it does not matter in which order they are applied.
+func lastChanges(objects []store.Object) []store.Object {
+	last := make(map[store.Key]int, len(objects))
+	for i := range objects {
+		last[objects[i].Key] = i
+	}
+	if len(last) == len(objects) {
+		return objects
+	}
+	kept := make([]store.Object, 0, len(last))
+	for i := range objects {
+		if last[objects[i].Key] == i {
+			kept = append(kept, objects[i])
+		}
+	}
+	return kept
+}
+
 // fetch reads what has changed past from, by a mirror where there is one, or else from the store.
 func (f *follower) fetch(ctx context.Context, from store.Version) (mirror.Answer, error) {
 	if from > 0 && !f.up {
@@ -180,7 +218,7 @@
 
 func (d *Daemon) follower(prefix store.Key, wait, pause clock.Millis, apply func(context.Context, read)) *follower {
 	return &follower{
-		d: d, store: d.dialStore(wait, false), brief: d.dialStore(wait/briefPart, false), quick: d.dialStore(0, false), prefix: prefix, pause: pause,
+		d: d, store: d.dialStore(wait, false), brief: d.dialStore(wait/briefPart, false), quick: d.dialStore(0, false), stale: d.dialStore(0, true), prefix: prefix, pause: pause,
 		oldest: 2*wait/briefPart + oldestSlack, copy: d.copies[prefix], apply: apply,
 	}
 }
@@ -200,7 +238,9 @@
 }
 
 func (d *Daemon) followTargets(ctx context.Context) {
-	d.follower(platform.TargetsPrefix, d.set.entriesWait(), entriesPause, d.applyTargets).run(ctx)
+	f := d.follower(platform.TargetsPrefix, d.set.entriesWait(), entriesPause, d.applyTargets)
+	d.entries.Store(f)
+	f.run(ctx)
 }
 
 func (d *Daemon) applyTargets(ctx context.Context, r read) {
--- /dev/null
+++ b/internal/process/edge/follow_test.go
@@ -0,0 +1,146 @@
+package edge
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/cactusfork/cactusfork/internal/process/mirror"
+	store "github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/platform"
+)
+
+// entryObject is the entry of a target at that version.
+func entryObject(id string, v store.Version) store.Object {
+	value, err := json.Marshal(map[string]any{
+		"Service": "g", "Address": "127.0.0.1:1", "Zone": "here", "Capacity": 2, "State": "ready", "DbRole": "replica", "born": 5,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return store.Object{Key: platform.TargetsPrefix + store.Key(id), Version: v, Value: value}
+}
+
+func entryGone(id string, v store.Version) store.Object {
+	return store.Object{Key: platform.TargetsPrefix + store.Key(id), Version: v, Deleted: true}
+}
+
+// believer is a daemon's control state, fed by a follower that never calls.
+type believer struct {
+	*Daemon
+	follower *follower
+}
+
+func newBeliever(clk *clock.Clock) *believer {
+	set := &Settings{Daemon: DaemonSettings{ID: "d", Drain: 7000}, Limits: LimitSettings{Descriptors: 1000}}
+	d := New("", set, clk, zap.NewNop())
+	return &believer{Daemon: d, follower: d.follower(platform.TargetsPrefix, 0, 0, d.applyTargets)}
+}
+
+// take lets the daemon learn an answer.
+func (b *believer) take(t *testing.T, a mirror.Answer) {
+	b.follower.take(t.Context(), &a, b.clk.Now())
+	b.settle(t)
+}
+
+// settle lets the control loop take all that waits for it.
+func (b *believer) settle(t *testing.T) {
+	for len(b.control.in) > 0 {
+		b.control.take(t.Context(), <-b.control.in)
+	}
+}
+
+// present names the targets whose entries are there.
+func (b *believer) present() string {
+	var list []string
+	for _, g := range b.control.groups {
+		for id, m := range g.members {
+			if m.lapsedAt == 0 {
+				list = append(list, string(id))
+			}
+		}
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
+
+func TestOneAnswerWithSeveralChangesOfAnEntry(t *testing.T) {
+	list := mirror.Answer{Whole: true, Version: 10, Objects: []store.Object{entryObject("a", 3), entryObject("b", 7)}}
+	tests := []struct {
+		name    string
+		changes []store.Object
+		want    string
+	}{
+		{"gone, then back", []store.Object{entryGone("a", 11), entryObject("a", 12)}, "a b"},
+		{"changed, then gone", []store.Object{entryObject("a", 11), entryGone("a", 12)}, "b"},
+		{"several gone, then back", []store.Object{entryGone("a", 11), entryGone("b", 12), entryObject("b", 13), entryObject("a", 14)}, "a b"},
+		{"back, then gone again", []store.Object{entryGone("a", 11), entryObject("a", 12), entryGone("a", 13), entryObject("b", 14)}, "b"},
+		{"a new one, gone at once", []store.Object{entryObject("c", 11), entryGone("c", 12)}, "a b"},
+		{"gone, then not readable", []store.Object{entryGone("a", 11), {Key: platform.TargetsPrefix + "a", Version: 12, Value: []byte("{")}}, "b"},
+	}
+	for _, tt := range tests {
+		b := newBeliever(&clock.NewManual(1).Clock)
+		b.take(t, list)
+		b.take(t, mirror.Answer{Version: 20, Objects: tt.changes})
+		if got := b.present(); got != tt.want {
+			t.Errorf("%s: got targets %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestAnyCutOfAHistoryEndsInTheSameBelief compares a daemon that reads the store, and one that asks it as a mirror, with a fresh list.
+func TestAnyCutOfAHistoryEndsInTheSameBelief(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := clock.NewManual(1)
+		reading, asking := newBeliever(&m.Clock), newBeliever(&m.Clock)
+		present := make(map[string]store.Object)
+		reading.take(t, mirror.Answer{Whole: true, Version: 1})
+		asked := store.Version(0)
+		ask := func() {
+			a, ok := reading.follower.copy.Read(t.Context(), &m.Clock, asked, 0)
+			if !ok {
+				rt.Fatal("got no answer from the copy")
+			}
+			asked = a.Version
+			asking.take(t, a)
+		}
+		version := store.Version(1)
+		for range rapid.IntRange(1, 12).Draw(rt, "answers") {
+			var changes []store.Object
+			for range rapid.IntRange(0, 5).Draw(rt, "changes") {
+				version++
+				id := fmt.Sprint("t-", rapid.IntRange(0, 3).Draw(rt, "target"))
+				if _, ok := present[id]; ok && rapid.Bool().Draw(rt, "goes") {
+					delete(present, id)
+					changes = append(changes, entryGone(id, version))
+					continue
+				}
+				present[id] = entryObject(id, version)
+				changes = append(changes, present[id])
+			}
+			reading.take(t, mirror.Answer{Version: version, Objects: changes})
+			if rapid.Bool().Draw(rt, "asks") {
+				ask()
+			}
+		}
+		ask()
+		fresh := newBeliever(&m.Clock)
+		whole := mirror.Answer{Whole: true, Version: version}
+		for _, o := range present {
+			whole.Objects = append(whole.Objects, o)
+		}
+		fresh.take(t, whole)
+		if got, want := reading.present(), fresh.present(); got != want {
+			rt.Errorf("daemon that reads the store: got %q, want %q", got, want)
+		}
+		if got, want := asking.present(), fresh.present(); got != want {
+			rt.Errorf("daemon that asks a mirror: got %q, want %q", got, want)
+		}
+	})
+}
--- a/internal/process/mirror/copy.go
+++ b/internal/process/mirror/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/cactusfork/cactusfork/internal/process/platform"
@@ -63,6 +64,8 @@
 func (c *Copy) put(o platform.Object, at platform.Version) {
 	if !o.Deleted {
 		c.objects[o.Key] = o
+		// An asker that were told both would not know which came last.
+		c.deleted = slices.DeleteFunc(c.deleted, func(d platform.Object) bool { return d.Key == o.Key })
 		return
 	}
 	delete(c.objects, o.Key)
--- a/internal/process/mirror/mirror_test.go
+++ b/internal/process/mirror/mirror_test.go
@@ -54,6 +54,7 @@
 		{"deletion", []Answer{list, {Version: 14, Objects: []platform.Object{deleted("a")}}}, 10, "-a", false, 14},
 		{"deletion, seen already", []Answer{list, {Version: 14, Objects: []platform.Object{deleted("a")}}}, 14, "", false, 14},
 		{"all behind a deletion", []Answer{list, {Version: 14, Objects: []platform.Object{deleted("a")}}}, 0, "b", true, 14},
+		{"deleted and created again", []Answer{list, {Version: 14, Objects: []platform.Object{deleted("a")}}, {Version: 16, Objects: []platform.Object{object("a", 16)}}}, 10, "a", false, 16},
 		{"a source that is behind changes nothing", []Answer{list, {Whole: true, Version: 4, Objects: []platform.Object{object("a", 3)}}}, 0, "a b", true, 10},
 	}
 	for _, tt := range tests {
