link: give back connections of daemons that only ask, open more at first

Targets with 39 places counted 24 to 28 daemons in place of 6; when power was lost at 41 s all places were taken by connections that a target counts for 3 s more, and until 44.0 s half of the usual statements were served.

Change: where other daemons serve a group, a connection rests for 300 ms only. How many are opened at first follows from the target's places and the daemons that share them, half of the places, in place of two. A question about the position that all reads wait for opens a further connection when transactions hold all.

--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -32,9 +32,15 @@
 	fullPause clock.Millis = 100
 	// idleLimit is how long a connection may rest before it is closed, so that other daemons find a place.
 	idleLimit = 15 * clock.Second
+	// briefIdle is how long a connection may rest where this daemon only asks after the target, in milliseconds: a question comes again within two rounds, or not for long.
+	briefIdle clock.Millis = 300
 	// peakWindow is for how long a peak of use counts, and spare how many connections are kept beside it.
 	peakWindow = 2 * clock.Second
 	spare      = 1
+	// askWait is how long a question waits for a connection that is open already, in milliseconds: about as long as a new one takes.
+	askWait clock.Millis = 15
+	// leastEarly is how many connections may be open at first in any case: one for a transaction and one for all else.
+	leastEarly = 2
 	// drainLimit bounds the wait for answers that nobody waits for any more.
 	drainLimit = 5 * clock.Second
 )
@@ -46,8 +52,7 @@
 	Address string
 	// Maximum is how many connections this daemon may have open.
 	Maximum int
-	// Early is how many it may have open until EarlyUntil, while the target may still count those of daemons that have lost power.
-	Early      int
+	// EarlyUntil is until when the target may still count the connections of daemons that have lost power, so that only as many as SetEarly says are opened.
 	EarlyUntil clock.Millis
 	Clock      *clock.Clock
 	// Dial opens a connection.
@@ -64,10 +69,14 @@
 type Pool struct {
 	cfg PoolConfig
 
-	mu     sync.Mutex
-	idle   []*Conn
-	open   int
-	closed bool
+	mu sync.Mutex
+	// early is how many may be open until EarlyUntil.
+	early int
+	// visiting is true while other daemons serve the target's group for this one.
+	visiting bool
+	idle     []*Conn
+	open     int
+	closed   bool
 	// opening is true while a connection is opened: one at a time, as each takes a slot of the target for long, and those in use may come free before.
 	opening bool
 	// peak and lastPeak are the most connections in use at once in the present window and the one before.
@@ -80,7 +89,21 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool(cfg PoolConfig) *Pool { return &Pool{cfg: cfg} }
+func NewPool(cfg PoolConfig) *Pool { return &Pool{cfg: cfg, early: leastEarly} }
+
+// SetEarly says how many connections may be open at first.
+func (p *Pool) SetEarly(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.early = max(n, leastEarly)
+}
+
+// SetVisiting says whether other daemons serve the target's group for this one, so that their connections need the places that this one's would rest in.
+func (p *Pool) SetVisiting(visiting bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.visiting = visiting
+}
 
 // Get returns an idle connection, if possible one with the values in force, or opens one; it waits until the given time at most.
 func (p *Pool) Get(ctx context.Context, v *Values, until clock.Millis) (*Conn, error) {
@@ -123,6 +146,15 @@
 	return p.dial(ctx, until)
 }
 
+// Ask returns a connection for a question that others wait for: one that is idle soon, or else a further one, as transactions may hold for long all that this daemon may have open.
+func (p *Pool) Ask(ctx context.Context, until clock.Millis) (*Conn, error) {
+	c, err := p.Get(ctx, &Values{}, min(until, p.cfg.Clock.Now()+askWait))
+	if !errors.Is(err, ErrFull) {
+		return c, err
+	}
+	return p.Open(ctx, until)
+}
+
 func (p *Pool) wait(ctx context.Context, freed <-chan struct{}, until clock.Millis) error {
 	left := until - p.cfg.Clock.Now()
 	if left <= 0 {
@@ -171,7 +203,7 @@
 // maximum is how many connections may be open now.
 func (p *Pool) maximum() int {
 	if p.cfg.Clock.Now() < p.cfg.EarlyUntil {
-		return min(p.cfg.Early, p.cfg.Maximum)
+		return min(p.early, p.cfg.Maximum)
 	}
 	return p.cfg.Maximum
 }
@@ -239,7 +271,7 @@
 func (p *Pool) Put(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || c.broken || c.pending > 0 {
+	if p.closed || c.broken || c.pending > 0 || p.open > p.maximum() {
 		c.Break()
 		p.open--
 	} else {
@@ -271,6 +303,10 @@
 		p.lastPeak, p.peak, p.windowEnd = p.peak, 0, now+peakWindow
 		p.used()
 	}
+	if p.visiting {
+		p.keep(func(c *Conn) bool { return c.Rested() < briefIdle })
+		return
+	}
 	extra := p.open - max(p.peak, p.lastPeak) - spare
 	p.keep(func(c *Conn) bool {
 		if extra > 0 {
--- a/internal/connection/link/pool_test.go
+++ b/internal/connection/link/pool_test.go
@@ -241,8 +241,9 @@
 	m := clock.NewManual(1000)
 	f := &fakeWires{}
 	p := f.pool(&m.Clock, 8)
-	p.cfg.Early, p.cfg.EarlyUntil = 2, 4000
-	for range 2 {
+	p.cfg.EarlyUntil = 4000
+	p.SetEarly(3)
+	for range 3 {
 		if _, err := p.Get(t.Context(), &Values{}, 1000); err != nil {
 			t.Fatal(err)
 		}
@@ -255,3 +256,48 @@
 		t.Errorf("got %v later, want a connection", err)
 	}
 }
+
+func TestQuestionsDoNotWaitForTransactions(t *testing.T) {
+	f := &fakeWires{}
+	p := f.pool(clock.System(), 1)
+	held := get(t, p, &Values{})
+	c, err := p.Ask(t.Context(), clock.System().Now()+1000)
+	if err != nil {
+		t.Fatalf("got %v, want a further connection", err)
+	}
+	p.Put(c)
+	if got := p.Opened(); got != 1 {
+		t.Errorf("got %d connections open behind the question, want 1", got)
+	}
+	p.Put(held)
+	if c, err = p.Ask(t.Context(), clock.System().Now()+1000); err != nil || c != held {
+		t.Errorf("got %v, %v, want the idle connection", c, err)
+	}
+}
+
+// A cut data centre comes back: each of its daemons has asked after every target, and few may go on to hold connections.
+func TestVisitorsLeaveThePlacesToOthers(t *testing.T) {
+	for _, tt := range []struct {
+		visiting bool
+		want     int
+	}{{true, 0}, {false, 1}} {
+		m := clock.NewManual(1000)
+		f := &fakeWires{}
+		p := f.pool(&m.Clock, 8)
+		p.SetVisiting(tt.visiting)
+		c, err := p.Get(t.Context(), &Values{}, 2000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Put(c)
+		p.Sweep()
+		if got := p.Opened(); got != 1 {
+			t.Errorf("visiting %t: got %d open right behind a question, want 1", tt.visiting, got)
+		}
+		m.Advance(briefIdle)
+		p.Sweep()
+		if got := p.Opened(); got != tt.want {
+			t.Errorf("visiting %t: got %d open later, want %d", tt.visiting, got, tt.want)
+		}
+	}
+}
--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -345,8 +345,18 @@
 		centres[p.DataCentre] = true
 	}
 	for id, g := range c.groups {
-		homes := len(placement.Homes(id, peers, here, c.config.Groups[id].Connections)) * len(centres)
+		connections := c.config.Groups[id].Connections
+		near := placement.Homes(id, peers, here, connections)
+		visiting := len(near) > 0 && !slices.ContainsFunc(near, func(p placement.Peer) bool { return p.ID == c.d.id })
+		homes := len(near) * len(centres)
+		holders := homes
+		if holders == 0 {
+			holders = len(peers)
+		}
+		early := placement.Early(connections, holders)
 		for _, t := range g.members {
+			t.pool.SetEarly(early)
+			t.pool.SetVisiting(visiting)
 			window := t.meta.Load().Slots
 			if homes > 0 {
 				window = placement.Window(window, homes)
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -38,8 +38,6 @@
 	targetStartup clock.Millis = 600
 	// lingerTime is for how long a target may count the connections of a daemon that has lost power.
 	lingerTime = 3 * clock.Second
-	// earlyConnections is how many connections to each target a daemon opens in that time after its start, so that all daemons that start with it find a place.
-	earlyConnections = 2
 	// drainMargin is how long before the end of the drain time a leaving target is given its last work, for what is queued and under way.
 	drainMargin = 2 * clock.Second
 	// stopMargin is how long before the end of the grace a daemon stops, in milliseconds.
@@ -178,8 +176,8 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.targets.DialContext(ctx, "tcp", address)
 		},
-		Early: earlyConnections, EarlyUntil: d.startedAt + lingerTime,
-		Protocol: platform.NewTarget, StartupTimeout: targetStartup,
+		EarlyUntil: d.startedAt + lingerTime,
+		Protocol:   platform.NewTarget, StartupTimeout: targetStartup,
 		Opened: func() { d.count("target-connections-opened") },
 	})
 	return newTarget(m, pool, d.clk, d.set.Daemon.Drain-drainMargin)
--- a/internal/process/edge/samples.go
+++ b/internal/process/edge/samples.go
@@ -146,7 +146,7 @@
 // proveLead asks a target to begin and end a transaction, which only the primary does.
 func (d *Daemon) proveLead(ctx context.Context, g group.ID, t *target) error {
 	until := d.clk.Now() + probeTimeout
-	conn, err := t.pool.Get(ctx, &noValues, until)
+	conn, err := t.pool.Ask(ctx, until)
 	if err != nil {
 		return err
 	}
--- a/internal/request/placement/home.go
+++ b/internal/request/placement/home.go
@@ -51,6 +51,12 @@
 // Window is how many statements a home may have at work at a target with so many slots.
 func Window(slots, homes int) int { return max(1, (backlog*slots+homes-1)/max(homes, 1)) }
 
+// earlyPart is the part of a target's connections, one in so many, that daemons open at first: the others may still be counted for connections of before a loss of power.
+const earlyPart = 2
+
+// Early is how many connections each of so many daemons opens to a target at first, so that all of them find a place.
+func Early(connections, daemons int) int { return connections / earlyPart / max(daemons, 1) }
+
 // rank orders the daemons differently for each group, and alike on all daemons.
 func rank(g group.ID, d group.DaemonID) uint64 {
 	return xxhash.Sum64String(string(g) + "\x00" + string(d))
