relay: let sessions go back to the daemon that is to serve them

Cause: a session whose home ended it (a drain, an outage, a cut) was served from then on by the daemon that it came to, and one whose home did not answer by the next in order, for as long as it lasted.

Change: a session that rests outside a transaction looks for its home again, at most once a second, and takes along what it has set and prepared and, with the first read or begin, the point of its last commit as a floor. The protocol between daemons takes that prefix, that of callers refuses it as before. A home that has ended a session is passed over for a while, but not by a daemon that is cut off itself.

--- a/internal/connection/relay/forward.go
+++ b/internal/connection/relay/forward.go
@@ -26,10 +26,6 @@
 
 // forward gives a statement to the session's home, and reports false when there is none any more and nothing was sent to it.
 func (s *session) forward(ctx context.Context, st *statement.Statement) bool {
-	if !s.home.usable() {
-		s.leaveHome()
-		return false
-	}
 	r, _ := s.seams().Route(s.database)
 	if r == nil {
 		s.leaveHome()
@@ -47,7 +43,7 @@
 	}
 	clk := s.seams().Clock
 	until := clk.Deadline(n.until)
-	err := s.home.Wire.Send(until, link.Command{Kind: link.Forward, ID: st.ID, Text: st.Text})
+	err := s.home.Wire.Send(until, link.Command{Kind: link.Forward, ID: st.ID, Floor: n.tells(), Text: st.Text})
 	var reply link.Reply
 	if err == nil {
 		reply, err = s.home.Wire.Receive(until)
@@ -110,6 +106,7 @@
 
 // follow notes what the session sets, so that it can go on without its home.
 func (n *run) follow() {
+	n.s.keepSetup(n.st)
 	switch n.st.Verb {
 	case statement.Set:
 		n.s.values.Set(n.st.Name, n.st.Value)
@@ -145,7 +142,7 @@
 // leaveHome ends the session at the home; an open transaction is rolled back with it.
 func (s *session) leaveHome() {
 	_ = s.home.Wire.Close() // nothing is owed on it
-	s.home = nil
+	s.home, s.seekAt = nil, 0
 	if s.tx != nil {
 		s.tx.failed = true
 	}
--- a/internal/connection/relay/harness_test.go
+++ b/internal/connection/relay/harness_test.go
@@ -172,6 +172,8 @@
 	// sampled are the times since when samples were asked for.
 	sampled []clock.Millis
 	lost    []error
+	// floor is that of the next statement.
+	floor position.Point
 	// homeSaid tells for each answer of the home that counts whether it refused.
 	homeSaid []bool
 	// homesLost counts the homes that did not answer.
@@ -209,10 +211,11 @@
 		Answered:        func(group.ID, group.TargetID, *link.Reply, clock.Millis) {},
 		Lost:            func(_ group.ID, _ group.TargetID, _ clock.Millis, err error) { b.lost = append(b.lost, err) },
 		Home:            func(context.Context, group.ID, topology.Database) *Home { return nil },
+		Serves:          func(group.ID, group.DaemonID) bool { return true },
 		HomeAnswered:    func(_ group.ID, _ clock.Millis, refused bool) { b.homeSaid = append(b.homeSaid, refused) },
 		HomeLost:        func(group.DaemonID) { b.homesLost++ },
 		Report:          func(o *Outcome) { b.outcomes = append(b.outcomes, *o) },
-	}, nil)
+	}, nil, nil)
 	b.session = &session{server: s, wire: b.caller(), database: "db"}
 	return b
 }
@@ -283,7 +286,7 @@
 func (b *bench) ask(text string) string {
 	b.t.Helper()
 	f := strings.Fields(text)
-	st := statement.Statement{ID: statement.ID(fmt.Sprint(len(b.outcomes) + 1)), Text: text, Verb: verbs[f[0]], Writes: f[0] == "WRITE"}
+	st := statement.Statement{ID: statement.ID(fmt.Sprint(len(b.outcomes) + 1)), Text: text, Verb: verbs[f[0]], Writes: f[0] == "WRITE", Floor: b.floor}
 	switch f[0] {
 	case "SET":
 		st.Verb, st.Name, st.Value = statement.Set, f[1], f[2]
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -76,6 +76,8 @@
 	Lost func(g group.ID, t group.TargetID, sent clock.Millis, err error)
 	// Home opens a session at the daemon that serves the group for this one; nil when this daemon serves it.
 	Home func(ctx context.Context, g group.ID, d topology.Database) *Home
+	// Serves reports whether that daemon is to serve the group's sessions for this one; "" is this one.
+	Serves func(g group.ID, d group.DaemonID) bool
 	// HomeAnswered takes an answer of the group's home to a statement that came at that time: whether it refused, as not run.
 	HomeAnswered func(g group.ID, arrived clock.Millis, refused bool)
 	// HomeLost takes that a home did not answer.
--- a/internal/connection/relay/server.go
+++ b/internal/connection/relay/server.go
@@ -27,6 +27,8 @@
 	cfg      Config
 	seams    Seams
 	protocol func(net.Conn) Wire
+	// forwarded is the protocol of other daemons.
+	forwarded func(net.Conn) Wire
 	// hedges bounds the reads that are tried elsewhere while their first attempt goes on.
 	hedges *retry.Budget
 	// away is true while callers are better served by another daemon.
@@ -39,9 +41,9 @@
 	ended    sync.WaitGroup
 }
 
-// New returns a server that speaks protocol with its callers.
-func New(cfg Config, seams Seams, protocol func(net.Conn) Wire) *Server {
-	return &Server{cfg: cfg, seams: seams, protocol: protocol, hedges: retry.NewBudget(seams.Clock.Now()), sessions: make(map[*session]struct{})}
+// New returns a server that speaks protocol with its callers, and forwarded with other daemons.
+func New(cfg Config, seams Seams, protocol, forwarded func(net.Conn) Wire) *Server {
+	return &Server{cfg: cfg, seams: seams, protocol: protocol, forwarded: forwarded, hedges: retry.NewBudget(seams.Clock.Now()), sessions: make(map[*session]struct{})}
 }
 
 // Serve takes callers from l until it is closed; their sessions end with ctx.
@@ -77,7 +79,11 @@
 const acceptPause clock.Millis = 20
 
 func (s *Server) start(ctx context.Context, wire net.Conn, local bool) {
-	c := &session{server: s, wire: s.protocol(wire), local: local}
+	speak := s.protocol
+	if local {
+		speak = s.forwarded
+	}
+	c := &session{server: s, wire: speak(wire), local: local}
 	s.mu.Lock()
 	s.last++
 	c.id = s.last
--- a/internal/connection/relay/session.go
+++ b/internal/connection/relay/session.go
@@ -36,6 +36,12 @@
 	home *Home
 	// written is the point of the session's last commit in each group.
 	written map[group.ID]position.Point
+	// setup is what the caller has set and prepared, for a later home.
+	setup map[setupKey]statement.Statement
+	// seekAt is when a better home is looked for next.
+	seekAt clock.Millis
+	// informed is true once the home was told what the session wrote elsewhere.
+	informed bool
 	// turnedAway is true once a statement was refused as not run, until one is served.
 	turnedAway bool
 
@@ -103,7 +109,7 @@
 		return false
 	}
 	if !s.local {
-		s.home = s.seams().Home(ctx, r.Group, db)
+		s.home, s.seekAt = s.seams().Home(ctx, r.Group, db), s.now()+seekPause
 	}
 	s.wire.Ready(statement.Idle, position.Point{})
 	return s.flush() == nil
@@ -240,6 +246,12 @@
 
 // handle answers one statement.
 func (s *session) handle(ctx context.Context, st statement.Statement) {
+	if st.Floor != (position.Point{}) {
+		if r, _ := s.seams().Route(s.database); r != nil {
+			s.note(r.Group, st.Floor)
+		}
+	}
+	s.seekHome(ctx)
 	switch {
 	case s.home != nil && s.forward(ctx, &st):
 	case s.tx != nil && s.tx.failed:
@@ -284,6 +296,7 @@
 	default:
 		delete(s.prepared, st.Name)
 	}
+	s.keepSetup(&st)
 	s.complete()
 }
 
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -116,7 +116,7 @@
 		MaxSessions:    max(1, set.Limits.Descriptors-reservedDescriptors),
 		StartupTimeout: startupTimeout,
 		WriteTimeout:   writeTimeout,
-	}, d.seams(), platform.NewCaller)
+	}, d.seams(), platform.NewCaller, platform.NewPeer)
 	return d
 }
 
@@ -144,7 +144,8 @@
 		Answered:        d.answered,
 		Lost:            d.lost,
 		Home:            d.home,
-		HomeLost:        d.homeLost,
+		Serves:          d.serves,
+		HomeLost:        d.homeEnded,
 		HomeAnswered:    d.homeAnswered,
 		Report:          d.report,
 	}
--- a/internal/process/edge/peers.go
+++ b/internal/process/edge/peers.go
@@ -192,6 +192,24 @@
 	return err
 }
 
+// serves reports whether that daemon is to serve the group for this one; "" is this one. While this one is cut off, sessions stay where they are.
+func (d *Daemon) serves(g group.ID, at group.DaemonID) bool {
+	v := d.view.Load()
+	if v.config == nil || d.set.Daemon.PeerAddress == "" || d.isolated.Load() {
+		return true
+	}
+	homes := placement.Homes(g, d.peers.awake(d.clk.Now()), group.DataCentre(d.set.Daemon.DataCentre), v.config.Groups[g].Connections)
+	if at == "" {
+		return len(homes) == 0 || names(homes, d.id)
+	}
+	return names(homes, at)
+}
+
+// names reports whether the daemon is among the peers.
+func names(list []placement.Peer, d group.DaemonID) bool {
+	return slices.ContainsFunc(list, func(p placement.Peer) bool { return p.ID == d })
+}
+
 // home opens a session at a daemon that serves the group for this one; nil when this daemon is to serve it.
 func (d *Daemon) home(ctx context.Context, g group.ID, db topology.Database) *relay.Home {
 	v := d.view.Load()
@@ -205,7 +223,7 @@
 	}
 	for until := d.clk.Now() + homeSearch; d.clk.Now() < until; {
 		homes := placement.Homes(g, d.peers.awake(d.clk.Now()), group.DataCentre(d.set.Daemon.DataCentre), v.config.Groups[g].Connections)
-		if len(homes) == 0 || slices.ContainsFunc(homes, func(p placement.Peer) bool { return p.ID == d.id }) {
+		if len(homes) == 0 || names(homes, d.id) {
 			return nil
 		}
 		p := homes[rand.IntN(len(homes))]
@@ -264,6 +282,13 @@
 	return p.refusedSince[g]
 }
 
+// homeEnded passes over for a while a daemon that has left sessions alone; while this one is cut off, that tells nothing of it, and sessions are to find it again behind the cut.
+func (d *Daemon) homeEnded(id group.DaemonID) {
+	if !d.isolated.Load() {
+		d.homeLost(id)
+	}
+}
+
 // homeLost passes a daemon over for a while.
 func (d *Daemon) homeLost(id group.DaemonID) {
 	d.count("homes-lost")
--- a/internal/request/statement/statement.go
+++ b/internal/request/statement/statement.go
@@ -1,5 +1,7 @@
 package statement
 
+import "github.com/cactusfork/cactusfork/pkg/position"
+
 // ID is the name that a caller gives to one request.
 type ID string
 
@@ -52,6 +54,8 @@
 	Verb Verb
 	// Text is the statement as the caller sent it.
 	Text string
+	// Floor is a point that the session is to see from now on; the zero point asks for nothing.
+	Floor position.Point
 	// Name is that of a session value or of a prepared statement.
 	Name string
 	// Value is what Set gives to the name.
