mirror: let two daemons read the store for the fleet, start by cheap lists

Cause, by calls counted for each purpose: 20 to 30 calls a machine, whose largest parts were each daemon's own lists and watches at every start, two calls for its own entry, a list of the daemons every 4 s, and two readers in each data centre.

Change: of the mirrors of several data centres two read the store and the others ask those. A daemon that starts where mirrors are reads lists that may be seconds old, and a mirror tells what has come since; one of the first start of the fleet waits for the second list of daemons before it reads for itself. Its own entry is written only where the list lacks it, which also brings back one that was lost. The list of daemons goes by the mirrors. An answer's age counts from the question, so that it does not grow with each mirror's wait, and a list changes only what differs in a copy. Calls are counted by purpose.

--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -347,7 +347,7 @@
 	for id, g := range c.groups {
 		connections := c.config.Groups[id].Connections
 		near := placement.Homes(id, peers, here, connections)
-		visiting := len(near) > 0 && !names(near, c.d.id)
+		visiting := len(near) > 0 && !placement.Contains(near, c.d.id)
 		homes := len(near) * len(centres)
 		holders := homes
 		if holders == 0 {
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -87,6 +87,10 @@
 	// startedAt is when Run began.
 	startedAt clock.Millis
 
+	// ownMu orders writes of the daemon's own entry, whose version is ownVersion; 0 when there is none.
+	ownMu      sync.Mutex
+	ownVersion store.Version
+
 	claimsMu sync.Mutex
 	claims   map[group.ID]seenClaim
 }
@@ -104,11 +108,11 @@
 		peers:      newPeers(),
 		peerDialer: socket.Dialer(peerLimits),
 		mirrors:    mirror.NewClient(socket.Dialer(peerLimits).DialContext),
-		copies:     map[store.Key]*mirror.Copy{platform.ConfigPrefix: {}, platform.TargetsPrefix: {}},
+		copies:     map[store.Key]*mirror.Copy{platform.ConfigPrefix: {}, platform.TargetsPrefix: {}, peerPrefix: {}},
 		claims:     make(map[group.ID]seenClaim),
 	}
-	d.countCalls()
-	d.store = d.dialStore(set.configWait(), false)
+	d.gaugeCalls("store-calls", &d.calls)
+	d.store = d.dialStore("own", set.configWait(), false)
 	d.promote = platform.Promoter(d.storeConfig(set.Platform.DutyAddress, 0), d.id)
 	d.control = newControl(d)
 	d.view.Store(&view{})
@@ -126,11 +130,13 @@
 	}
 }
 
-// dialStore returns the platform's store with watches that wait so long and lists that may be stale, and its calls counted.
-func (d *Daemon) dialStore(wait clock.Millis, stale bool) *store.Store {
+// dialStore returns the platform's store with watches that wait so long and lists that may be stale, and its calls counted in all and for that purpose.
+func (d *Daemon) dialStore(purpose string, wait clock.Millis, stale bool) *store.Store {
 	cfg := d.storeConfig(d.set.Platform.StoreAddress, wait)
 	cfg.Stale = stale
-	return store.Counted(platform.DialStore(cfg), &d.calls)
+	calls := &store.Calls{}
+	d.gaugeCalls("store-calls-"+purpose, calls)
+	return store.Counted(store.Counted(platform.DialStore(cfg), &d.calls), calls)
 }
 
 func (d *Daemon) seams() relay.Seams {
@@ -247,7 +253,6 @@
 			d.warn("serve daemons", err)
 		}
 	}()
-	go d.register(ctx, false)
 	go d.followPeers(ctx)
 	return nil
 }
@@ -269,7 +274,7 @@
 	d.draining.Store(true)
 	d.log.Info("draining", zap.Int("sessions", d.server.Len()))
 	if d.set.Daemon.PeerAddress != "" {
-		go d.register(ctx, true)
+		go d.registerLeaving(ctx)
 	}
 	_ = d.clk.Sleep(ctx, d.set.Daemon.Notice) // an end of ctx only shortens the notice
 	if err := callers.Close(); err != nil {
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -23,6 +23,9 @@
 	// configPause and entriesPause are the waits behind changes, in milliseconds, so that several come with one call.
 	configPause  clock.Millis = 150
 	entriesPause clock.Millis = 100
+	// mirrorStart is for how long after its first question a daemon waits for mirrors that start with it, and mirrorPause the time between two questions to one, in milliseconds.
+	mirrorStart clock.Millis = 1500
+	mirrorPause clock.Millis = 100
 	// mirrorWait is how long a mirror may wait for a change, in milliseconds: by then one that has stopped is noticed.
 	mirrorWait clock.Millis = 1000
 	// settleTime is for how long after its start a daemon may yet learn that it reads for others: twice the wait for the second list of daemons.
@@ -58,6 +61,8 @@
 	wait  clock.Millis
 	// synced is when the last read that succeeded was asked of the store; 0 before the first one.
 	synced clock.Millis
+	// askedFirst is when a mirror was first asked; 0 before.
+	askedFirst clock.Millis
 	// gap is true while changes may have come that no watch has told.
 	gap bool
 }
@@ -101,7 +106,10 @@
 // take applies what was read by a call made at that time, and keeps it for other daemons.
 func (f *follower) take(ctx context.Context, a *mirror.Answer, asked clock.Millis) {
 	a.Objects = lastChanges(a.Objects)
-	r := read{objects: a.Objects, whole: a.Whole, since: f.d.clk.Now() - a.Age}
+	r := read{objects: a.Objects, whole: a.Whole, since: f.d.clk.Now()}
+	if a.Mirrored {
+		r.since = asked - a.Age
+	}
 	if a.Whole || f.gap {
 		r.since = f.synced
 	}
@@ -141,6 +149,37 @@
 	return kept
 }
 
+// first reads all objects.
+//
+// A list that may be seconds old is enough for daemons that start with many others: it costs little, and a mirror tells at once what has come since.
+func (f *follower) first(ctx context.Context, source *store.Store) (mirror.Answer, error) {
+	if f.synced == 0 && f.d.startsWithMany(ctx) {
+		objects, version, err := f.stale.List(ctx, f.prefix)
+		// How old it is nobody knows.
+		return mirror.Answer{Objects: objects, Version: version, Whole: true, Age: f.d.clk.Now()}, err
+	}
+	objects, version, err := source.List(ctx, f.prefix)
+	return mirror.Answer{Objects: objects, Version: version, Whole: true}, err
+}
+
+// ask asks a mirror; one that has only just started may have nothing yet.
+func (f *follower) ask(ctx context.Context, m *placement.Peer, from store.Version) (mirror.Answer, error) {
+	if f.askedFirst == 0 {
+		f.askedFirst = f.d.clk.Now()
+	}
+	for {
+		a, err := f.d.mirrors.Read(ctx, m.Mirror, f.prefix, from, mirrorWait)
+		if err == nil && a.Age > f.oldest {
+			err = errMirrorLate
+		}
+		if err == nil || f.d.clk.Now() >= f.askedFirst+mirrorStart || f.d.clk.Sleep(ctx, mirrorPause) != nil {
+			return a, err
+		}
+	}
+}
+
+var errMirrorLate = errors.New("mirror tells only what is old")
+
 // fetch reads what has changed past from, by a mirror where there is one, or else from the store.
 func (f *follower) fetch(ctx context.Context, from store.Version) (mirror.Answer, error) {
 	if from > 0 && !f.up {
@@ -148,16 +187,21 @@
 		objects, version, err := f.quick.Watch(ctx, f.prefix, from)
 		return mirror.Answer{Objects: objects, Version: version}, err
 	}
+	for from > 0 && f.synced == 0 && f.d.fleetStarts() {
+		if err := f.d.clk.Sleep(ctx, mirrorPause); err != nil {
+			return mirror.Answer{}, err
+		}
+	}
 	source := f.store
 	m, role := f.d.mirror()
 	if from == 0 {
-		// Behind a loss of power the mirrors start too.
+		// A mirror may have lost the same history.
 		role = placement.Alone
 	}
 	switch role {
 	case placement.ByMirror:
-		a, err := f.d.mirrors.Read(ctx, m.Mirror, f.prefix, from, mirrorWait)
-		if err == nil && a.Age <= f.oldest {
+		a, err := f.ask(ctx, &m, from)
+		if err == nil {
 			return a, nil
 		}
 		f.d.log.Warn("mirror does not serve", zap.String("mirror", string(m.ID)), zap.String("prefix", string(f.prefix)), zap.Int64("age-ms", int64(a.Age)), zap.Error(err))
@@ -172,8 +216,7 @@
 		}
 	}
 	if from == 0 {
-		objects, version, err := source.List(ctx, f.prefix)
-		return mirror.Answer{Objects: objects, Version: version, Whole: true}, err
+		return f.first(ctx, source)
 	}
 	objects, version, err := source.Watch(ctx, f.prefix, from)
 	return mirror.Answer{Objects: objects, Version: version}, err
@@ -213,12 +256,12 @@
 }
 
 func (d *Daemon) followConfig(ctx context.Context) {
-	d.follower(platform.ConfigPrefix, d.set.configWait(), configPause, d.applyConfig).run(ctx)
+	d.follower("config", platform.ConfigPrefix, d.set.configWait(), configPause, d.applyConfig).run(ctx)
 }
 
-func (d *Daemon) follower(prefix store.Key, wait, pause clock.Millis, apply func(context.Context, read)) *follower {
+func (d *Daemon) follower(purpose string, prefix store.Key, wait, pause clock.Millis, apply func(context.Context, read)) *follower {
 	return &follower{
-		d: d, store: d.dialStore(wait, false), brief: d.dialStore(wait/briefPart, false), quick: d.dialStore(0, false), stale: d.dialStore(0, true), prefix: prefix, pause: pause,
+		d: d, store: d.dialStore(purpose, wait, false), brief: d.dialStore(purpose+"-brief", wait/briefPart, false), quick: d.dialStore(purpose+"-quick", 0, false), stale: d.dialStore(purpose+"-stale", 0, true), prefix: prefix, pause: pause,
 		oldest: 2*wait/briefPart + oldestSlack, copy: d.copies[prefix], apply: apply,
 	}
 }
@@ -238,7 +281,7 @@
 }
 
 func (d *Daemon) followTargets(ctx context.Context) {
-	f := d.follower(platform.TargetsPrefix, d.set.entriesWait(), entriesPause, d.applyTargets)
+	f := d.follower("entries", platform.TargetsPrefix, d.set.entriesWait(), entriesPause, d.applyTargets)
 	d.entries.Store(f)
 	f.run(ctx)
 }
--- a/internal/process/edge/follow_test.go
+++ b/internal/process/edge/follow_test.go
@@ -40,7 +40,7 @@
 func newBeliever(clk *clock.Clock) *believer {
 	set := &Settings{Daemon: DaemonSettings{ID: "d", Drain: 7000}, Limits: LimitSettings{Descriptors: 1000}}
 	d := New("", set, clk, zap.NewNop())
-	return &believer{Daemon: d, follower: d.follower(platform.TargetsPrefix, 0, 0, d.applyTargets)}
+	return &believer{Daemon: d, follower: d.follower("entries", platform.TargetsPrefix, 0, 0, d.applyTargets)}
 }
 
 // take lets the daemon learn an answer.
--- a/internal/process/edge/meter.go
+++ b/internal/process/edge/meter.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/cactusfork/cactusfork/internal/connection/relay"
+	store "github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 )
@@ -71,16 +73,10 @@
 	}
 }
 
-// countCalls shows the calls to the store among the metrics.
-func (d *Daemon) countCalls() {
-	calls := &d.calls
-	for name, n := range map[string]func() int64{
-		"store-calls-get":   func() int64 { return int64(calls.Gets.Load()) },
-		"store-calls-put":   func() int64 { return int64(calls.Puts.Load()) },
-		"store-calls-list":  func() int64 { return int64(calls.Lists.Load()) },
-		"store-calls-watch": func() int64 { return int64(calls.Watches.Load()) },
-	} {
-		d.Gauge(name, n)
+// gaugeCalls shows calls to the store among the metrics, by kind.
+func (d *Daemon) gaugeCalls(name string, calls *store.Calls) {
+	for kind, n := range map[string]*atomic.Uint64{"get": &calls.Gets, "put": &calls.Puts, "list": &calls.Lists, "watch": &calls.Watches} {
+		d.Gauge(name+"-"+kind, func() int64 { return int64(n.Load()) })
 	}
 }
 
--- a/internal/process/edge/peers.go
+++ b/internal/process/edge/peers.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -14,7 +12,6 @@
 
 	"github.com/cactusfork/cactusfork/internal/connection/relay"
 	"github.com/cactusfork/cactusfork/internal/connection/socket"
-	store "github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
@@ -24,11 +21,6 @@
 )
 
 const (
-	// peerPrefix is where daemons say how others reach them.
-	peerPrefix store.Key = "cactusfork-daemons/"
-	// secondPeers is the wait before the second list of daemons, by when those that start together have written their entries, and peersEvery that between later ones.
-	secondPeers = 2 * clock.Second
-	peersEvery  = 4 * clock.Second
 	// peersWait bounds the wait of sessions for the first list, from the daemon's start on.
 	peersWait = clock.Second
 	// peerRest is how long a daemon that did not answer is passed over.
@@ -39,27 +31,17 @@
 	homeSearch = clock.Second
 	// homeStartup bounds the startup of a session at another daemon, in milliseconds.
 	homeStartup clock.Millis = 400
-	// registerPause is the wait before the store is asked again to take the daemon's own entry, in milliseconds.
-	registerPause clock.Millis = 500
 )
 
 // peerLimits say when a silent daemon is given up.
 var peerLimits = socket.Limits{Connect: 200, Unacknowledged: 700, KeepAlive: 1000}
 
-// peerEntry is what a daemon says of itself in the store.
-type peerEntry struct {
-	Address string `json:"address"`
-	// Mirror is where the daemon serves what it has read of the store; empty when it does not.
-	Mirror     string           `json:"mirror,omitempty"`
-	DataCentre group.DataCentre `json:"data-centre"`
-	Leaving    bool             `json:"leaving"`
-}
-
 // peers are the daemons that the store names; follow writes them and sessions read them.
 type peers struct {
 	list atomic.Pointer[[]placement.Peer]
-	// known is true once the list was read.
+	// known is true once the list was read, and reads is how often it was.
 	known atomic.Bool
+	reads atomic.Int64
 
 	mu sync.Mutex
 	// restUntil is until when a daemon is passed over, and mirrorRest until when it is as a mirror.
@@ -116,82 +98,6 @@
 	p.restUntil[id] = until
 }
 
-// followPeers reads the list of daemons again and again; a list that is seconds old is good enough, as a daemon that has gone is met by its silence.
-func (d *Daemon) followPeers(ctx context.Context) {
-	list := d.dialStore(0, true)
-	known := -1
-	// The first list has those that ran before a restart of all.
-	for wait := clock.Millis(0); d.clk.Sleep(ctx, wait) == nil; {
-		objects, _, err := list.List(ctx, peerPrefix)
-		if err != nil {
-			d.warn("list daemons", err)
-			wait = peersEvery
-			if !d.peers.known.Load() {
-				wait = registerPause
-			}
-			continue
-		}
-		wait = peersEvery
-		if d.peers.known.CompareAndSwap(false, true) {
-			wait = secondPeers
-		}
-		all := d.parsePeers(objects)
-		d.peers.list.Store(&all)
-		if len(all) != known {
-			known = len(all)
-			d.log.Info("daemons known", zap.Int("count", known))
-		}
-	}
-}
-
-// parsePeers returns the daemons that take sessions; an entry that cannot be read names none.
-func (d *Daemon) parsePeers(objects []store.Object) []placement.Peer {
-	list := make([]placement.Peer, 0, len(objects))
-	for _, o := range objects {
-		var e peerEntry
-		if err := json.Unmarshal(o.Value, &e); err != nil {
-			d.warn("entry of a daemon", err)
-			continue
-		}
-		if !e.Leaving && e.Address != "" {
-			list = append(list, placement.Peer{ID: group.DaemonID(o.Key[len(peerPrefix):]), DataCentre: e.DataCentre, Address: e.Address, Mirror: e.Mirror})
-		}
-	}
-	return list
-}
-
-// register writes the daemon's own entry until the store has taken it.
-func (d *Daemon) register(ctx context.Context, leaving bool) {
-	value, err := json.Marshal(peerEntry{
-		Address: d.set.Daemon.PeerAddress, Mirror: d.set.Daemon.MirrorAddress, DataCentre: group.DataCentre(d.set.Daemon.DataCentre), Leaving: leaving,
-	})
-	if err != nil {
-		d.warn("encode own entry", err)
-		return
-	}
-	key := peerPrefix + store.Key(d.id)
-	for ctx.Err() == nil {
-		err := d.put(ctx, key, value)
-		if err == nil {
-			return
-		}
-		d.warn("write own entry", err)
-		if d.clk.Sleep(ctx, registerPause+clock.Millis(rand.Int64N(int64(registerPause)))) != nil {
-			return
-		}
-	}
-}
-
-// put writes value over whatever is there.
-func (d *Daemon) put(ctx context.Context, key store.Key, value []byte) error {
-	o, err := d.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return err
-	}
-	_, err = d.store.Put(ctx, key, value, o.Version)
-	return err
-}
-
 // serves reports whether that daemon is to serve the group for this one; "" is this one. While this one is cut off, sessions stay where they are.
 func (d *Daemon) serves(g group.ID, at group.DaemonID) bool {
 	v := d.view.Load()
@@ -200,14 +106,9 @@
 	}
 	homes := placement.Homes(g, d.peers.awake(d.clk.Now()), group.DataCentre(d.set.Daemon.DataCentre), v.config.Groups[g].Connections)
 	if at == "" {
-		return len(homes) == 0 || names(homes, d.id)
+		return len(homes) == 0 || placement.Contains(homes, d.id)
 	}
-	return names(homes, at)
-}
-
-// names reports whether the daemon is among the peers.
-func names(list []placement.Peer, d group.DaemonID) bool {
-	return slices.ContainsFunc(list, func(p placement.Peer) bool { return p.ID == d })
+	return placement.Contains(homes, at)
 }
 
 // home opens a session at a daemon that serves the group for this one; nil when this daemon is to serve it.
@@ -223,7 +124,7 @@
 	}
 	for until := d.clk.Now() + homeSearch; d.clk.Now() < until; {
 		homes := placement.Homes(g, d.peers.awake(d.clk.Now()), group.DataCentre(d.set.Daemon.DataCentre), v.config.Groups[g].Connections)
-		if len(homes) == 0 || names(homes, d.id) {
+		if len(homes) == 0 || placement.Contains(homes, d.id) {
 			return nil
 		}
 		p := homes[rand.IntN(len(homes))]
--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -26,6 +26,8 @@
 	PeerAddress    string `ini:"peer-address" kind:"address"`
 	MirrorAddress  string `ini:"mirror-address" kind:"address"`
 	MetricsAddress string `ini:"metrics-address" kind:"address"`
+	// FirstStart is true when the whole fleet starts for the first time.
+	FirstStart bool `ini:"first-start" default:"false"`
 	// Notice is how long a stopping daemon still takes callers while its health check fails.
 	Notice clock.Millis `ini:"notice" default:"2200ms" min:"0s" max:"1m"`
 	// Drain is how long after it has said that it leaves a target may be given work.
--- a/internal/process/mirror/copy.go
+++ b/internal/process/mirror/copy.go
@@ -19,7 +19,9 @@
 	Version platform.Version
 	// Whole is true when the objects are all there are.
 	Whole bool
-	// Age is how long ago the platform was asked, in milliseconds.
+	// Mirrored is true for the answer of another daemon.
+	Mirrored bool
+	// Age is how long before the question the platform was asked, in milliseconds; below 0 when it was asked since.
 	Age clock.Millis
 }
 
@@ -44,9 +46,12 @@
 	if c.version > a.Version {
 		return // another source was ahead
 	}
-	if a.Whole {
+	if a.Whole && c.objects == nil {
 		c.objects = make(map[platform.Key]platform.Object, len(a.Objects))
-		c.deleted, c.complete = nil, a.Version
+		c.complete = a.Version
+	}
+	if a.Whole {
+		c.drop(a)
 	}
 	for _, o := range a.Objects {
 		c.put(o, a.Version)
@@ -61,6 +66,19 @@
 	}
 }
 
+// drop notes the deletion of what a list of all objects lacks.
+func (c *Copy) drop(a *Answer) {
+	present := make(map[platform.Key]bool, len(a.Objects))
+	for _, o := range a.Objects {
+		present[o.Key] = true
+	}
+	for k := range c.objects {
+		if !present[k] {
+			c.put(platform.Object{Key: k, Deleted: true}, a.Version)
+		}
+	}
+}
+
 func (c *Copy) put(o platform.Object, at platform.Version) {
 	if !o.Deleted {
 		c.objects[o.Key] = o
@@ -79,8 +97,9 @@
 
 // Read returns what has changed past from, or all objects when from is 0 or too long ago; it waits until the given time for a change, and reports false while nothing was read yet.
 func (c *Copy) Read(ctx context.Context, clk *clock.Clock, from platform.Version, until clock.Millis) (Answer, bool) {
+	asked := clk.Now()
 	for {
-		a, changed, ok := c.read(from, clk.Now())
+		a, changed, ok := c.read(from, asked)
 		left := until - clk.Now()
 		if !ok || changed == nil || left <= 0 {
 			return a, ok
@@ -88,7 +107,7 @@
 		select {
 		case <-changed:
 		case <-clk.After(left):
-			a, _, ok = c.read(from, clk.Now())
+			a, _, ok = c.read(from, asked)
 			return a, ok
 		case <-ctx.Done():
 			return a, ok
@@ -97,10 +116,10 @@
 }
 
 // read returns an answer, and what to wait for when it has nothing new.
-func (c *Copy) read(from platform.Version, now clock.Millis) (Answer, chan struct{}, bool) {
+func (c *Copy) read(from platform.Version, asked clock.Millis) (Answer, chan struct{}, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a := Answer{Version: max(c.version, from), Whole: from == 0 || from < c.complete, Age: now - c.synced}
+	a := Answer{Version: max(c.version, from), Whole: from == 0 || from < c.complete, Age: asked - c.synced}
 	if c.version == 0 {
 		return a, nil, false
 	}
--- a/internal/process/mirror/serve.go
+++ b/internal/process/mirror/serve.go
@@ -73,7 +73,7 @@
 		return Answer{}, fmt.Errorf("read mirror: %w", err)
 	}
 	m := res.Msg
-	a := Answer{Version: platform.Version(m.GetVersion()), Whole: m.GetWhole(), Age: clock.Millis(max(0, m.GetAgeMs()))}
+	a := Answer{Mirrored: true, Version: platform.Version(m.GetVersion()), Whole: m.GetWhole(), Age: clock.Millis(m.GetAgeMs())}
 	for _, o := range m.GetObjects() {
 		a.Objects = append(a.Objects, platform.Object{Key: platform.Key(o.GetKey()), Version: platform.Version(o.GetVersion()), Value: o.GetValue(), Deleted: o.GetDeleted()})
 	}
--- a/internal/request/placement/mirror_test.go
+++ b/internal/request/placement/mirror_test.go
@@ -65,3 +65,29 @@
 		}
 	}
 }
+
+func TestTwoDaemonsReadTheStoreForAllDataCentres(t *testing.T) {
+	var list []Peer
+	for i := range 60 {
+		list = append(list, Peer{ID: group.DaemonID(fmt.Sprint("d", i)), DataCentre: group.DataCentre(fmt.Sprint("c", i%6)), Mirror: "a:1"})
+	}
+	list = append(list, Peer{ID: "small", DataCentre: "small", Mirror: "a:1"})
+	reading, far := 0, 0
+	for _, p := range list {
+		m, role := Mirror(p.ID, list, p.DataCentre)
+		switch {
+		case role == ForOthers:
+			reading++
+		case role == Alone && p.ID != "small":
+			t.Errorf("got %s alone, want it to ask a mirror", p.ID)
+		case role == ByMirror && m.DataCentre != p.DataCentre:
+			far++
+			if _, role := Mirror(m.ID, list, m.DataCentre); role != ForOthers {
+				t.Errorf("got %s asked from another data centre, want one that reads the store", m.ID)
+			}
+		}
+	}
+	if reading != mirrors || far > 6*mirrors {
+		t.Errorf("got %d that read the store and %d that ask another data centre, want %d and %d at most", reading, far, mirrors, 6*mirrors)
+	}
+}
