link: give a question's new connection its own time

Cause: a question that found no idle connection and might open one bounded that one by the 15 ms in which it waits for one that is open. A connection to a target takes 12 to 27 ms, so every such question failed, with "primary cannot be asked" behind it.

--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -107,6 +107,11 @@
 
 // Get returns an idle connection, if possible one with the values in force, or opens one; it waits until the given time at most.
 func (p *Pool) Get(ctx context.Context, v *Values, until clock.Millis) (*Conn, error) {
+	return p.get(ctx, v, until, until)
+}
+
+// get waits until patience for a connection or a place, and until the given time for one that it opens.
+func (p *Pool) get(ctx context.Context, v *Values, patience, until clock.Millis) (*Conn, error) {
 	for {
 		c, wait, err := p.take(v)
 		if err != nil || c != nil {
@@ -120,7 +125,7 @@
 			}
 			continue
 		}
-		if err := p.wait(ctx, wait, until); err != nil {
+		if err := p.wait(ctx, wait, patience); err != nil {
 			return nil, err
 		}
 	}
@@ -148,7 +153,7 @@
 
 // Ask returns a connection for a question that others wait for: one that is idle soon, or else a further one, as transactions may hold for long all that this daemon may have open.
 func (p *Pool) Ask(ctx context.Context, until clock.Millis) (*Conn, error) {
-	c, err := p.Get(ctx, &Values{}, min(until, p.cfg.Clock.Now()+askWait))
+	c, err := p.get(ctx, &Values{}, min(until, p.cfg.Clock.Now()+askWait), until)
 	if !errors.Is(err, ErrFull) {
 		return c, err
 	}
--- a/internal/connection/link/pool_test.go
+++ b/internal/connection/link/pool_test.go
@@ -257,6 +257,26 @@
 	}
 }
 
+// A new connection takes longer than a question waits for one that is open.
+func TestQuestionsOpenAConnectionInTheirOwnTime(t *testing.T) {
+	f := &fakeWires{}
+	m := clock.NewManual(1000)
+	p := f.pool(&m.Clock, 2)
+	var limit time.Time
+	protocol := p.cfg.Protocol
+	p.cfg.Protocol = func(c net.Conn) Wire {
+		w := protocol(c)
+		w.Startup = func(_ group.ID, _ group.TargetID, until time.Time) (Reply, error) { limit = until; return Reply{}, nil }
+		return w
+	}
+	if _, err := p.Ask(t.Context(), 1300); err != nil {
+		t.Fatal(err)
+	}
+	if left := time.Until(limit); left <= 2*askWait.Duration() {
+		t.Errorf("got a startup bounded by %v, want about 300 ms", left)
+	}
+}
+
 func TestQuestionsDoNotWaitForTransactions(t *testing.T) {
 	f := &fakeWires{}
 	p := f.pool(clock.System(), 1)
