admission: refuse at once what would wait too long, and late work that gets no turn

Change: an item is refused when by the pace of those ahead it would wait for half of the time in which it can start in time, and late items once none of them has run for 100 ms.

--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -12,6 +12,10 @@
 	AgingBound = 8
 	// writeShare is the part of the places, one in so many, that reads leave to writes.
 	writeShare = 4
+	// promptPart is the part of the time in which an item can start in time, one in so many, that it is let wait by the pace of those ahead: the statements behind it in its transaction need the rest.
+	promptPart = 2
+	// lateLimit is how long late items wait while none of them runs, in milliseconds: longer than a statement usually takes.
+	lateLimit clock.Millis = 100
 )
 
 // ID names a waiting item; the owner of the queue gives it.
@@ -47,6 +51,9 @@
 	reads   int
 	writes  int
 	seq     uint64
+	pace    pace
+	// lateRan is when a late item last ran, or the first of those that wait became late.
+	lateRan clock.Millis
 }
 
 // NewQueue returns a queue of at most that many places.
@@ -64,6 +71,9 @@
 	if i.expired(now) {
 		return []Item{i}
 	}
+	if i.StartBy > now && q.pace.wait(now, q.Ahead(i)) > (i.StartBy-now)/promptPart {
+		return []Item{i}
+	}
 	if !q.full(i.Kind) {
 		q.add(i)
 		return nil
@@ -134,6 +144,10 @@
 	c := q.turn()
 	if c == nil {
 		next, ok = q.popLate()
+		if ok {
+			q.lateRan = now
+			q.pace.left(now, q.Len() > 0)
+		}
 		return next, expired, ok
 	}
 	for _, other := range q.classes {
@@ -144,6 +158,7 @@
 	c.passed = 0
 	next = c.next()
 	q.count(next.Kind, -1)
+	q.pace.left(now, q.Len() > 0)
 	return next, expired, true
 }
 
@@ -199,9 +214,8 @@
 }
 
 func (q *Queue) expire(now clock.Millis) []Item {
-	var gone []Item
+	gone := q.dropLate(now)
 	for _, c := range q.classes {
-		c.demote(now)
 		for _, l := range c.lines() {
 			for len(*l) > 0 && (*l)[0].expired(now) {
 				gone = append(gone, q.take(l, 0))
@@ -211,6 +225,28 @@
 	return gone
 }
 
+// dropLate moves the items that can no longer start in time behind all others, and takes them out once none of them has run for lateLimit: those in time take all that the slots can do.
+func (q *Queue) dropLate(now clock.Millis) []Item {
+	waited := false
+	for _, c := range q.classes {
+		waited = waited || c.lateLine() != nil
+		c.demote(now)
+	}
+	if !waited {
+		q.lateRan = now
+	}
+	if now-q.lateRan < lateLimit {
+		return nil
+	}
+	var gone []Item
+	for _, c := range q.classes {
+		for l := c.lateLine(); l != nil; l = c.lateLine() {
+			gone = append(gone, q.take(l, 0))
+		}
+	}
+	return gone
+}
+
 // Remove takes out the item named id, and reports whether it still waited.
 func (q *Queue) Remove(id ID) bool {
 	defer q.settle()
