--- a/Makefile
+++ b/Makefile
@@ -4,16 +4,12 @@
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 GOFILES := $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v -E '\.pb\.go$$|\.connect\.go$$')
 
-.PHONY: try capacity check format lint vet test tools
+.PHONY: try check format lint vet test tools
 
 # try runs the main job on the embedded stand-ins.
 try:
 	$(GO) run . try --seconds 5
 
-# capacity measures the slopes and rewrites the tables of docs/CAPACITY.md.
-capacity:
-	$(GO) run . capacity --out docs/CAPACITY.md
-
 # check is what CI runs.
 check: format lint vet test
 
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -98,7 +98,6 @@
 			newToken(stdout),
 			newStandIns(stdout),
 			newTry(stdout, stderr),
-			newCapacity(stdout),
 		},
 	}
 }
--- a/internal/request/admission/replay_test.go
+++ b/internal/request/admission/replay_test.go
@@ -161,7 +161,7 @@
 		w.credit += o.worth
 	} else {
 		w.late[o.name]++
-		w.credit += o.trade.late
+		w.credit += o.late
 	}
 }
 
