edge: drop state that the number of lists tells, read the daemons' copy once

Whether the list of daemons is known follows from how often it was read, the wait for it stood twice, the whole copy was read before each question only for its version, and the look for a home asked the same of two cases.

--- a/internal/connection/relay/seek.go
+++ b/internal/connection/relay/seek.go
@@ -9,6 +9,7 @@
 
 	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
+	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
@@ -36,7 +37,11 @@
 	if r == nil {
 		return
 	}
-	if s.home == nil && s.seams().Serves(r.Group, "") || s.home != nil && s.seams().Serves(r.Group, s.home.ID) {
+	at := group.DaemonID("")
+	if s.home != nil {
+		at = s.home.ID
+	}
+	if s.seams().Serves(r.Group, at) {
 		return
 	}
 	h := s.seams().Home(ctx, r.Group, s.database)
--- a/internal/process/edge/peers.go
+++ b/internal/process/edge/peers.go
@@ -40,8 +40,7 @@
 // peers are the daemons that the store names; follow writes them and sessions read them.
 type peers struct {
 	list atomic.Pointer[[]placement.Peer]
-	// known is true once the list was read, and reads is how often it was.
-	known atomic.Bool
+	// reads is how often the list was read.
 	reads atomic.Int64
 
 	mu sync.Mutex
@@ -117,16 +116,24 @@
 	return placement.Contains(homes, at)
 }
 
+// awaitPeers waits for the first list of daemons, if this one has started only just now.
+func (d *Daemon) awaitPeers(ctx context.Context) error {
+	for d.peers.reads.Load() == 0 && d.clk.Now() < d.startedAt+peersWait {
+		if err := d.clk.Sleep(ctx, choosePause); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // home opens a session at a daemon that serves the group for this one; nil when this daemon is to serve it.
 func (d *Daemon) home(ctx context.Context, g group.ID, db topology.Database) *relay.Home {
 	v := d.view.Load()
 	if v.config == nil || d.set.Daemon.PeerAddress == "" {
 		return nil
 	}
-	for !d.peers.known.Load() && d.clk.Now() < d.startedAt+peersWait {
-		if d.clk.Sleep(ctx, choosePause) != nil {
-			return nil
-		}
+	if d.awaitPeers(ctx) != nil {
+		return nil
 	}
 	for until := d.clk.Now() + homeSearch; d.clk.Now() < until; {
 		homes := placement.Homes(g, d.peers.awake(d.clk.Now()), group.DataCentre(d.set.Daemon.DataCentre), v.config.Groups[g].Connections)
--- a/internal/process/edge/register.go
+++ b/internal/process/edge/register.go
@@ -51,28 +51,27 @@
 // followPeers reads the list of daemons again and again; one that is seconds old is good enough, as a daemon that has gone is met by its silence.
 func (d *Daemon) followPeers(ctx context.Context) {
 	stale := d.dialStore("daemons", 0, true)
-	known := -1
+	known, version := -1, store.Version(0)
 	// The first list has those that ran before a restart of all.
 	for wait := clock.Millis(0); d.clk.Sleep(ctx, wait) == nil; {
-		objects, version, err := d.readPeers(ctx, stale)
+		objects, told, err := d.readPeers(ctx, stale, version)
 		if err != nil {
 			d.warn("list daemons", err)
 			wait = peersEvery
-			if !d.peers.known.Load() {
+			if d.peers.reads.Load() == 0 {
 				wait = registerPause
 			}
 			continue
 		}
+		version = told
 		all := d.parsePeers(objects)
 		if !slices.Equal(all, *d.peers.list.Load()) {
 			d.peers.list.Store(&all)
 		}
 		wait = peersEvery
-		switch d.peers.reads.Add(1) {
-		case 1:
-			d.peers.known.Store(true)
+		if d.peers.reads.Add(1) == 1 {
 			wait = secondPeers
-		default:
+		} else {
 			wait += clock.Millis(rand.Int64N(int64(registerPause)))
 		}
 		if len(all) != known {
@@ -83,12 +82,10 @@
 	}
 }
 
-// readPeers returns the entries of all daemons, by a mirror where there is one, and the version up to which they are told.
-func (d *Daemon) readPeers(ctx context.Context, stale *store.Store) ([]store.Object, store.Version, error) {
-	kept := d.copies[peerPrefix]
-	have, _ := kept.Read(ctx, d.clk, 0, 0)
+// readPeers returns the entries of all daemons, which were told up to from before, by a mirror where there is one, and the version up to which they are told now.
+func (d *Daemon) readPeers(ctx context.Context, stale *store.Store, from store.Version) ([]store.Object, store.Version, error) {
 	asked := d.clk.Now()
-	a, err := d.askPeers(ctx, have.Version)
+	a, err := d.askPeers(ctx, from)
 	if err != nil {
 		a.Objects, a.Version, err = stale.List(ctx, peerPrefix)
 		a.Whole, a.Age = true, 0
@@ -96,8 +93,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	kept := d.copies[peerPrefix]
 	kept.Take(&a, asked-a.Age)
-	have, _ = kept.Read(ctx, d.clk, 0, 0)
+	have, _ := kept.Read(ctx, d.clk, 0, 0)
 	return have.Objects, have.Version, nil
 }
 
@@ -207,10 +205,8 @@
 	if d.set.Daemon.MirrorAddress == "" || d.set.Daemon.PeerAddress == "" || d.clk.Now() >= d.startedAt+peersWait {
 		return false
 	}
-	for !d.peers.known.Load() && d.clk.Now() < d.startedAt+peersWait {
-		if d.clk.Sleep(ctx, choosePause) != nil {
-			return false
-		}
+	if d.awaitPeers(ctx) != nil {
+		return false
 	}
 	_, role := d.mirror()
 	return role != placement.Alone || d.fleetStarts()
