--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -203,6 +203,9 @@
 // handleConfig applies a configuration that is newer than the present one.
 func (c *controlLoop) handleConfig(cfg *topology.Config) {
 	if c.config != nil && cfg.Version <= c.config.Version {
+		if cfg.Version < c.config.Version {
+			c.d.log.Info("older configuration ignored", zap.Uint64("version", uint64(cfg.Version)), zap.Uint64("current", uint64(c.config.Version)))
+		}
 		return
 	}
 	c.d.log.Info("configuration applied", zap.Uint64("version", uint64(cfg.Version)), zap.Int("routes", len(cfg.Routes)))
@@ -240,6 +243,7 @@
 	}
 	known := g.members[e.ID]
 	if known != nil && known.meta.Load().Revision > e.Revision {
+		c.d.log.Info("older target entry ignored", zap.String("target", string(e.ID)), zap.Uint64("revision", uint64(e.Revision)), zap.Uint64("current", uint64(known.meta.Load().Revision)))
 		return
 	}
 	if known != nil {
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -64,6 +64,8 @@
 	log   *zap.Logger
 	meter *meter
 	store *store.Store
+	// storeEra is the newest era in a response of the store; 0 before the first one.
+	storeEra atomic.Uint64
 	// calls counts all calls to the store.
 	calls store.Calls
 	// promote has the platform make a target the primary of its group, under a fencing token.
@@ -117,6 +119,7 @@
 		claims:       make(map[group.ID]observedClaim),
 	}
 	d.gaugeStoreCalls("store-calls", &d.calls)
+	d.Gauge("store-era", func() int64 { return int64(d.storeEra.Load()) })
 	d.store = d.dialStore("own", set.configWatchTimeout(), false)
 	d.promote = platform.Promoter(d.storeConfig(set.Platform.DutyAddress, 0), d.id)
 	d.control = newControlLoop(d)
@@ -138,12 +141,29 @@
 // dialStore returns the platform's store. Its watches wait up to wait, its lists may be stale if stale is set, and its calls are counted in total and by purpose.
 func (d *Daemon) dialStore(purpose string, wait clock.Millis, stale bool) *store.Store {
 	cfg := d.storeConfig(d.set.Platform.StoreAddress, wait)
-	cfg.Stale = stale
+	cfg.Stale, cfg.ObserveEra = stale, d.observeEra
 	calls := &store.Calls{}
 	d.gaugeStoreCalls("store-calls-"+purpose, calls)
 	return store.CountCalls(store.CountCalls(platform.DialStore(cfg), &d.calls), calls)
 }
 
+// observeEra records the era in a response of the store, and logs when the store was restored since the last one.
+func (d *Daemon) observeEra(era store.Era) {
+	for {
+		known := store.Era(d.storeEra.Load())
+		if era <= known {
+			return
+		}
+		if d.storeEra.CompareAndSwap(uint64(known), uint64(era)) {
+			if known > 0 {
+				d.count("store-restores")
+				d.log.Warn("store restored from a copy", zap.Uint64("era", uint64(era)), zap.Uint64("before", uint64(known)))
+			}
+			return
+		}
+	}
+}
+
 func (d *Daemon) dependencies() relay.Dependencies {
 	return relay.Dependencies{
 		Clock:           d.clk,
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -92,7 +92,7 @@
 			from, f.gap = 0, true
 			continue
 		}
-		if !f.handleResult(ctx, err) {
+		if !f.handleResult(ctx, from, &r, err) {
 			f.gap = true
 			continue
 		}
@@ -223,8 +223,8 @@
 	return mirror.Result{Objects: objects, Version: version}, err
 }
 
-// handleResult reports whether the call succeeded, and waits after a failure.
-func (f *follower) handleResult(ctx context.Context, err error) bool {
+// handleResult reports whether the call for the changes after version from succeeded, and waits after a failure.
+func (f *follower) handleResult(ctx context.Context, from store.Version, r *mirror.Result, err error) bool {
 	if ctx.Err() != nil {
 		return false
 	}
@@ -232,7 +232,7 @@
 		f.retryDelay = 0
 		if !f.available {
 			f.available = true
-			f.d.log.Info("store available", zap.String("prefix", string(f.prefix)))
+			f.d.log.Info("store available", zap.String("prefix", string(f.prefix)), zap.Uint64("from", uint64(from)), zap.Uint64("version", uint64(r.Version)), zap.Int("objects", len(r.Objects)), zap.Bool("listed", r.Full))
 			f.d.setStoreUp(ctx, f.prefix, true)
 		}
 		return true
