platform: order versions across a restore of the store

Cause: the store's revisions were taken as numbers that never come twice. After a restore from a copy they are assigned again. A daemon that watches from revision 24 and comes back when the store has reached 24 once more gets neither 410 nor an event, so all that was written since the copy stays unknown. The same comparison hid entries of targets and the daemon's own entry until the revision was reached again, and made the fencing token of a claim lower than one that the platform had seen, so that no primary could be replaced.

Ruled out: an older configuration that is rejected (no such line), and a late return (daemons are back 0.2 s to 0.8 s after the store).

Change: a Version holds the era above the revision, put together from the Store-Era header in one place. All comparisons, fencing tokens and mirrors use versions already. A watch from another era than the response's, or than the newest era that any call has shown, ends as one whose history is gone.

Why it works: two versions of different eras are never equal, and one of the later era is the higher one, whatever the revisions.

--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return "", err
 	}
-	d.log.Info("primary change claim acquired", zap.String("group", string(g.id)), zap.Uint64("fence", uint64(fence)))
+	d.log.Info("primary change claim acquired", zap.String("group", string(g.id)), zap.Stringer("fence", fence))
 	defer d.closeClaim(ctx, g.id, fence)
 	successor, err := d.selectSuccessor(ctx, g, action)
 	if err != nil {
@@ -292,7 +292,7 @@
 	for attempt := 1; ; attempt++ {
 		err := d.promote(ctx, g.id, id, fence)
 		d.log.Info("promotion requested", zap.String("group", string(g.id)), zap.String("target", string(id)),
-			zap.Uint64("fence", uint64(fence)), zap.Int("try", attempt), zap.Error(err))
+			zap.Stringer("fence", fence), zap.Int("try", attempt), zap.Error(err))
 		if err == nil {
 			return d.awaitPrimary(ctx, g, successor, d.clk.Now()+promotionTimeout)
 		}
--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	store "github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/promotion"
@@ -243,7 +244,7 @@
 	}
 	known := g.members[e.ID]
 	if known != nil && known.meta.Load().Revision > e.Revision {
-		c.d.log.Info("older target entry ignored", zap.String("target", string(e.ID)), zap.Uint64("revision", uint64(e.Revision)), zap.Uint64("current", uint64(known.meta.Load().Revision)))
+		c.d.log.Info("older target entry ignored", zap.String("target", string(e.ID)), zap.Stringer("revision", store.Version(e.Revision)), zap.Stringer("current", store.Version(known.meta.Load().Revision)))
 		return
 	}
 	if known != nil {
@@ -281,7 +282,7 @@
 
 func (c *controlLoop) logEntry(msg string, e *topology.Target) {
 	c.d.log.Info(msg, zap.String("target", string(e.ID)), zap.String("group", string(e.Group)),
-		zap.Bool("primary", e.Primary), zap.Bool("draining", e.Draining), zap.Uint64("revision", uint64(e.Revision)))
+		zap.Bool("primary", e.Primary), zap.Bool("draining", e.Draining), zap.Stringer("revision", store.Version(e.Revision)))
 }
 
 func (c *controlLoop) removeTarget(g *groupState, id group.TargetID) {
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -64,8 +64,8 @@
 	log   *zap.Logger
 	meter *meter
 	store *store.Store
-	// storeEra is the newest era in a response of the store; 0 before the first one.
-	storeEra atomic.Uint64
+	// eras holds the store's newest era.
+	eras store.EraTracker
 	// calls counts all calls to the store.
 	calls store.Calls
 	// promote has the platform make a target the primary of its group, under a fencing token.
@@ -118,8 +118,9 @@
 		caches:       map[store.Key]*mirror.Cache{platform.ConfigPrefix: {}, platform.TargetsPrefix: {}, peerPrefix: {}},
 		claims:       make(map[group.ID]observedClaim),
 	}
+	d.eras.OnRestore = d.handleRestore
 	d.gaugeStoreCalls("store-calls", &d.calls)
-	d.Gauge("store-era", func() int64 { return int64(d.storeEra.Load()) })
+	d.Gauge("store-era", func() int64 { return int64(d.eras.Newest()) })
 	d.store = d.dialStore("own", set.configWatchTimeout(), false)
 	d.promote = platform.Promoter(d.storeConfig(set.Platform.DutyAddress, 0), d.id)
 	d.control = newControlLoop(d)
@@ -141,27 +142,15 @@
 // dialStore returns the platform's store. Its watches wait up to wait, its lists may be stale if stale is set, and its calls are counted in total and by purpose.
 func (d *Daemon) dialStore(purpose string, wait clock.Millis, stale bool) *store.Store {
 	cfg := d.storeConfig(d.set.Platform.StoreAddress, wait)
-	cfg.Stale, cfg.ObserveEra = stale, d.observeEra
+	cfg.Stale, cfg.Eras = stale, &d.eras
 	calls := &store.Calls{}
 	d.gaugeStoreCalls("store-calls-"+purpose, calls)
 	return store.CountCalls(store.CountCalls(platform.DialStore(cfg), &d.calls), calls)
 }
 
-// observeEra records the era in a response of the store, and logs when the store was restored since the last one.
-func (d *Daemon) observeEra(era store.Era) {
-	for {
-		known := store.Era(d.storeEra.Load())
-		if era <= known {
-			return
-		}
-		if d.storeEra.CompareAndSwap(uint64(known), uint64(era)) {
-			if known > 0 {
-				d.count("store-restores")
-				d.log.Warn("store restored from a copy", zap.Uint64("era", uint64(era)), zap.Uint64("before", uint64(known)))
-			}
-			return
-		}
-	}
+func (d *Daemon) handleRestore(era, before store.Era) {
+	d.count("store-restores")
+	d.log.Warn("store restored from a copy", zap.Uint64("era", uint64(era)), zap.Uint64("before", uint64(before)))
 }
 
 func (d *Daemon) dependencies() relay.Dependencies {
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -88,7 +88,7 @@
 		requestedAt := f.d.clk.Now()
 		r, err := f.fetch(ctx, from)
 		if errors.Is(err, store.ErrHistoryGone) {
-			f.d.log.Info("store history expired, listing again", zap.String("prefix", string(f.prefix)), zap.Uint64("from", uint64(from)))
+			f.d.log.Info("store history expired, listing again", zap.String("prefix", string(f.prefix)), zap.Stringer("from", from))
 			from, f.gap = 0, true
 			continue
 		}
@@ -124,7 +124,7 @@
 // audit lists the objects and applies the list, unless the list is older than version from.
 func (f *follower) audit(ctx context.Context, from store.Version) {
 	objects, version, err := f.stale.List(ctx, f.prefix)
-	f.d.log.Info("store audit ended", zap.String("prefix", string(f.prefix)), zap.Int("objects", len(objects)), zap.Uint64("version", uint64(version)), zap.Uint64("from", uint64(from)), zap.Error(err))
+	f.d.log.Info("store audit ended", zap.String("prefix", string(f.prefix)), zap.Int("objects", len(objects)), zap.Stringer("version", version), zap.Stringer("from", from), zap.Error(err))
 	if err != nil || version < from {
 		return // the control loop requests another audit
 	}
@@ -232,7 +232,7 @@
 		f.retryDelay = 0
 		if !f.available {
 			f.available = true
-			f.d.log.Info("store available", zap.String("prefix", string(f.prefix)), zap.Uint64("from", uint64(from)), zap.Uint64("version", uint64(r.Version)), zap.Int("objects", len(r.Objects)), zap.Bool("listed", r.Full))
+			f.d.log.Info("store available", zap.String("prefix", string(f.prefix)), zap.Stringer("from", from), zap.Stringer("version", r.Version), zap.Int("objects", len(r.Objects)), zap.Bool("listed", r.Full))
 			f.d.setStoreUp(ctx, f.prefix, true)
 		}
 		return true
--- a/internal/process/edge/register.go
+++ b/internal/process/edge/register.go
@@ -76,7 +76,7 @@
 		}
 		if len(all) != count {
 			count = len(all)
-			d.log.Info("number of known daemons changed", zap.Int("count", count), zap.Uint64("version", uint64(version)))
+			d.log.Info("number of known daemons changed", zap.Int("count", count), zap.Stringer("version", version))
 		}
 		d.register(ctx, objects, version)
 	}
@@ -197,7 +197,7 @@
 		return err
 	}
 	d.ownVersion = v
-	d.log.Info("own entry written", zap.Uint64("version", uint64(v)), zap.Bool("leaving", e.Leaving))
+	d.log.Info("own entry written", zap.Stringer("version", v), zap.Bool("leaving", e.Leaving))
 	return nil
 }
 
--- a/internal/process/platform/store.go
+++ b/internal/process/platform/store.go
@@ -10,9 +10,6 @@
 // Key is the path of an object, for example groups/precios-db-1 or services/precios.
 type Key string
 
-// Version increases with each change of any object in the platform's store. 0 means that the object does not exist.
-type Version uint64
-
 // Object is a value with the version of its last change.
 type Object struct {
 	Key     Key     `json:"key"`
