edge: keep entries that a restored store shows as they were before

A store restored from a copy shows each entry as of the copy until its target writes it again. Since versions order across the restore, such an entry replaced the known one: a target that drains was taken for ready and its drain time began anew, a primary that had been replaced was taken for the primary, and a target that had restarted lost its connections twice.

In the first list of an era, an entry that the target itself wrote before the known one, by its start and its count of writes, is now ignored and logged. Later changes of the era are writes of living targets and apply as before, also with an earlier clock.

TestEntryOfTheCopyDoesNotReplaceANewerOne fails without the change for an older write and an older start: got 'ready primary', want 'draining replica'.

--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -33,11 +33,12 @@
 type (
 	// configUpdate is a configuration read from the store.
 	configUpdate struct{ config *topology.Config }
-	// entriesUpdate holds targets' entries read from the store; full is true when they are all that exist.
+	// entriesUpdate holds targets' entries read from the store; full is true when they are all that exist, and restored when the store was restored from a copy since the last update.
 	entriesUpdate struct {
-		entries []topology.Target
-		removed []group.TargetID
-		full    bool
+		entries  []topology.Target
+		removed  []group.TargetID
+		full     bool
+		restored bool
 		// since is when a watch reported the changes, or else the earliest time at which they may have occurred; 0 when that is unknown.
 		since clock.Millis
 	}
@@ -217,7 +218,7 @@
 	present := make(map[group.TargetID]bool, len(m.entries))
 	for i := range m.entries {
 		present[m.entries[i].ID] = true
-		c.handleEntry(&m.entries[i], m.since, now)
+		c.handleEntry(&m.entries[i], m, now)
 	}
 	for _, g := range c.groups {
 		for id, t := range g.members {
@@ -230,8 +231,8 @@
 	}
 }
 
-// handleEntry updates a target from an entry that changed after since. A target whose address or start time changed is replaced by a new one.
-func (c *controlLoop) handleEntry(e *topology.Target, since, now clock.Millis) {
+// handleEntry updates a target from an entry of an update. A target whose address or start time changed is replaced by a new one.
+func (c *controlLoop) handleEntry(e *topology.Target, m *entriesUpdate, now clock.Millis) {
 	g := c.groups[e.Group]
 	if g == nil {
 		g = &groupState{id: e.Group, members: make(map[group.TargetID]*member)}
@@ -243,7 +244,7 @@
 		}
 	}
 	known := g.members[e.ID]
-	if known != nil && known.meta.Load().Revision > e.Revision {
+	if known != nil && (known.meta.Load().Revision > e.Revision || m.restored && e.WrittenBefore(known.meta.Load())) {
 		c.d.log.Info("older target entry ignored", zap.String("target", string(e.ID)), zap.Stringer("revision", store.Version(e.Revision)), zap.Stringer("current", store.Version(known.meta.Load().Revision)))
 		return
 	}
@@ -261,13 +262,13 @@
 		if e.Primary {
 			known.primaryAt = now
 		}
-		known.setLeaving(e.Draining, since)
+		known.setLeaving(e.Draining, m.since)
 		c.logEntry("target added", e)
 		return
 	}
 	previous := known.meta.Load()
 	known.lapsedAt = 0
-	known.setLeaving(e.Draining, since)
+	known.setLeaving(e.Draining, m.since)
 	switch {
 	case e.Primary && !previous.Primary:
 		known.primaryAt = now
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -64,6 +64,8 @@
 	syncedAt clock.Millis
 	// firstRequestAt is when a mirror was first asked; 0 before.
 	firstRequestAt clock.Millis
+	// version is the version up to which changes have been applied; 0 before the first read.
+	version store.Version
 	// gap is true while changes may have occurred that no watch reported.
 	gap bool
 }
@@ -71,8 +73,9 @@
 // update is what one call read.
 type update struct {
 	objects []store.Object
-	// full is true when objects are all that exist.
-	full bool
+	// full is true when objects are all that exist, and restored when they come from a store that was restored from a copy since the last update.
+	full     bool
+	restored bool
 	// since is when a watch reported the changes, or else the earliest time at which they may have occurred; 0 when that is unknown.
 	since clock.Millis
 }
@@ -108,6 +111,8 @@
 func (f *follower) process(ctx context.Context, r *mirror.Result, requestedAt clock.Millis) {
 	r.Objects = lastChanges(r.Objects)
 	u := update{objects: r.Objects, full: r.Full, since: f.d.clk.Now()}
+	u.restored = f.version > 0 && r.Version.Era() > f.version.Era()
+	f.version = max(f.version, r.Version)
 	if r.Mirrored {
 		u.since = requestedAt - r.Age
 	}
@@ -288,7 +293,7 @@
 }
 
 func (d *Daemon) applyTargets(ctx context.Context, u update) {
-	m := entriesUpdate{full: u.full, since: u.since}
+	m := entriesUpdate{full: u.full, restored: u.restored, since: u.since}
 	for _, o := range u.objects {
 		t, err := platform.ParseTarget(o)
 		if err != nil {
--- a/internal/process/edge/restore_test.go
+++ b/internal/process/edge/restore_test.go
@@ -1,9 +1,14 @@
 package edge
 
 import (
+	"encoding/json"
 	"net/http"
 	"testing"
 
+	"github.com/cactusfork/cactusfork/internal/process/mirror"
+	store "github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/platform"
 	"github.com/cactusfork/cactusfork/platform/standin"
 )
 
@@ -68,3 +73,65 @@
 	env.restore(c, env.group.Targets[1].Drain)
 	env.eventually("target is leaving", func() bool { return d.view.Load().findTarget("g", "g-1").candidate(false).Leaving })
 }
+
+// version returns the version of a revision in an era.
+func version(t *testing.T, era store.Era, revision uint64) store.Version {
+	t.Helper()
+	v, err := store.NewVersion(era, revision)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// TestEntryOfTheCopyDoesNotReplaceANewerOne covers targets that were taken for ready, or for the primary, by an entry that they have since replaced.
+func TestEntryOfTheCopyDoesNotReplaceANewerOne(t *testing.T) {
+	entry := func(v store.Version, born, sequence int64, state, role string) store.Object {
+		value, err := json.Marshal(map[string]any{
+			"Service": "g", "Address": "127.0.0.1:1", "Zone": "here", "Capacity": 2, "State": state, "DbRole": role, "born": born, "Sequence": sequence,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return store.Object{Key: platform.TargetsPrefix + "a", Version: v, Value: value}
+	}
+	known := version(t, 1, 30)
+	copied, rewritten := version(t, 2, 20), version(t, 2, 25)
+	list := func(o ...store.Object) mirror.Result {
+		return mirror.Result{Full: true, Version: version(t, 2, 22), Objects: o}
+	}
+	tests := []struct {
+		name    string
+		updates []mirror.Result
+		want    string
+	}{
+		{"older write", []mirror.Result{list(entry(copied, 5, 3, "ready", "primary"))}, "draining replica"},
+		{"older start", []mirror.Result{list(entry(copied, 4, 90, "ready", "primary"))}, "draining replica"},
+		{"the same write", []mirror.Result{list(entry(copied, 5, 7, "draining", "replica"))}, "draining replica"},
+		{"later write", []mirror.Result{list(entry(copied, 5, 8, "draining", "primary"))}, "draining primary"},
+		{"later start", []mirror.Result{list(entry(copied, 6, 1, "ready", "primary"))}, "ready primary"},
+		{"start unknown", []mirror.Result{list(entry(copied, 0, 1, "ready", "primary"))}, "ready primary"},
+		{"written again later", []mirror.Result{list(entry(copied, 5, 3, "ready", "replica")), {Version: rewritten, Objects: []store.Object{entry(rewritten, 5, 9, "draining", "primary")}}}, "draining primary"},
+		{"restarted with an earlier clock", []mirror.Result{list(entry(copied, 5, 3, "ready", "replica")), {Version: rewritten, Objects: []store.Object{entry(rewritten, 2, 1, "ready", "primary")}}}, "ready primary"},
+	}
+	for _, tt := range tests {
+		f := newEntryFollower(&clock.NewManual(1000).Clock)
+		f.process(t, mirror.Result{Full: true, Version: known, Objects: []store.Object{entry(known, 5, 7, "draining", "replica")}})
+		for _, r := range tt.updates {
+			f.process(t, r)
+		}
+		meta := f.control.groups["g"].members["a"].meta.Load()
+		got := "ready replica"
+		switch {
+		case meta.Draining && meta.Primary:
+			got = "draining primary"
+		case meta.Draining:
+			got = "draining replica"
+		case meta.Primary:
+			got = "ready primary"
+		}
+		if got != tt.want {
+			t.Errorf("%s: got %s, want %s", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/version/topology/target.go
+++ b/internal/version/topology/target.go
@@ -24,6 +24,19 @@
 	// StartedAt is the target's start time by its own clock, in Unix milliseconds; 0 if it is unknown.
 	// A different value means that the target has restarted and its connections are lost.
 	StartedAt int64
+	// Sequence counts the target's writes of its entry since StartedAt.
+	Sequence uint64
 	// Revision is the revision of the entry.
 	Revision Revision
 }
+
+// WrittenBefore reports whether the target itself wrote its entry t before other, as far as the entries tell. It does not depend on the registry, which may show an old entry again.
+func (t *Target) WrittenBefore(other *Target) bool {
+	if t.StartedAt == 0 || other.StartedAt == 0 {
+		return false
+	}
+	if t.StartedAt != other.StartedAt {
+		return t.StartedAt < other.StartedAt
+	}
+	return t.Sequence < other.Sequence
+}
