edge: wait for targets that a restored store lacks

A target that registered since the copy is missing in the first list of a restored store until it writes its entry again, some two seconds. It counted as gone since the last read before the outage, so behind an outage of more than the drain time less its margin it got no work at once, even as the only primary. It now counts as gone from the list on, and is removed after lapseGrace as any other; one that was known to leave keeps its time.

TestTargetMissingInTheCopyMayWriteItsEntryAgain fails without the change: got departed true.

--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -220,11 +220,16 @@
 		present[m.entries[i].ID] = true
 		c.handleEntry(&m.entries[i], m, now)
 	}
+	lapsedSince := m.since
+	if m.restored {
+		// A copy may be older than the entry, whose target then writes it again.
+		lapsedSince = now
+	}
 	for _, g := range c.groups {
 		for id, t := range g.members {
 			if t.lapsedAt == 0 && (slices.Contains(m.removed, id) || m.full && !present[id]) {
 				t.lapsedAt = now
-				t.setLeaving(true, m.since)
+				t.setLeaving(true, lapsedSince)
 				c.d.log.Info("target entry removed from store", zap.String("target", string(id)), zap.String("group", string(g.id)))
 			}
 		}
--- a/internal/process/edge/restore_test.go
+++ b/internal/process/edge/restore_test.go
@@ -135,3 +135,19 @@
 		}
 	}
 }
+
+func TestTargetMissingInTheCopyMayWriteItsEntryAgain(t *testing.T) {
+	m := clock.NewManual(1000)
+	f := newEntryFollower(&m.Clock)
+	f.process(t, mirror.Result{Full: true, Version: version(t, 1, 30), Objects: []store.Object{entryObject("a", version(t, 1, 30))}})
+	m.Advance(f.set.Daemon.Drain) // an outage as long as the drain time
+	f.process(t, mirror.Result{Full: true, Version: version(t, 2, 20)})
+	target := f.control.groups["g"].members["a"]
+	if got := target.candidate(true); !got.Leaving || got.Departed {
+		t.Errorf("got leaving %t, departed %t behind the restore, want only leaving", got.Leaving, got.Departed)
+	}
+	f.process(t, mirror.Result{Version: version(t, 2, 21), Objects: []store.Object{entryObject("a", version(t, 2, 21))}})
+	if got := target.candidate(true); got.Leaving {
+		t.Error("got a leaving target after its entry came back, want a present one")
+	}
+}
