mirror: give all objects to a reader of an older era

A daemon that reads the store through another one may be ahead of it when the store is restored from a copy. What it read since the copy is lost, and the mirror, which never held it, could not name it as deleted: the reader kept targets and daemons that the store no longer had. A reader whose version is of an older era now gets all objects.

TestReaderOfAnOlderEraGetsAllObjects fails without the change: from 1.12 it gets changes instead of the whole.

--- a/internal/process/mirror/copy.go
+++ b/internal/process/mirror/copy.go
@@ -96,7 +96,7 @@
 	}
 }
 
-// Read returns the changes after version from, or all objects when from is 0 or older than the remembered deletions. It waits until the deadline for a change, and reports false while nothing was read yet.
+// Read returns the changes after version from, or all objects when from is 0, of an older era or older than the remembered deletions. It waits until the deadline for a change, and reports false while nothing was read yet.
 func (c *Cache) Read(ctx context.Context, clk *clock.Clock, from platform.Version, deadline clock.Millis) (Result, bool) {
 	requestedAt := clk.Now()
 	for {
@@ -120,7 +120,9 @@
 func (c *Cache) read(from platform.Version, requestedAt clock.Millis) (Result, chan struct{}, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := Result{Version: max(c.version, from), Full: from == 0 || from < c.completeFrom, Age: requestedAt - c.syncedAt}
+	// The store may have lost objects of an older era that this cache never held, so their deletion is not remembered.
+	full := from == 0 || from < c.completeFrom || from.Era() < c.version.Era()
+	r := Result{Version: max(c.version, from), Full: full, Age: requestedAt - c.syncedAt}
 	if c.version == 0 {
 		return r, nil, false
 	}
--- a/internal/process/mirror/mirror_test.go
+++ b/internal/process/mirror/mirror_test.go
@@ -70,6 +70,37 @@
 	}
 }
 
+func TestReaderOfAnOlderEraGetsAllObjects(t *testing.T) {
+	v := func(era platform.Era, revision uint64) platform.Version {
+		v, err := platform.NewVersion(era, revision)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	clk := clock.System()
+	var c Cache
+	client, address := serve(t, &c)
+	c.Apply(&Result{Full: true, Version: v(1, 10), Objects: []platform.Object{object("servers/a", v(1, 3)), object("servers/b", v(1, 7))}}, clk.Now())
+	c.Apply(&Result{Full: true, Version: v(2, 8), Objects: []platform.Object{object("servers/a", v(2, 3))}}, clk.Now())
+	tests := []struct {
+		from platform.Version
+		want string
+		full bool
+	}{
+		{v(1, 9), "servers/a", true},
+		{v(1, 12), "servers/a", true}, // ahead of this cache when the store was restored
+		{v(2, 2), "-servers/b servers/a", false},
+		{v(2, 8), "", false},
+	}
+	for _, tt := range tests {
+		got, err := client.Read(t.Context(), address, "servers/", tt.from, 0)
+		if err != nil || keys(&got) != tt.want || got.Full != tt.full || got.Version != v(2, 8) {
+			t.Errorf("from %s: got %q, full %t, version %s, %v, want %q, %t, 2.8", tt.from, keys(&got), got.Full, got.Version, err, tt.want, tt.full)
+		}
+	}
+}
+
 func TestEvictedDeletionsForceAFullRead(t *testing.T) {
 	var c Cache
 	c.Apply(&Result{Full: true, Version: 1, Objects: []platform.Object{object("a", 1)}}, 1)
