mirror: read from no release that does not know eras

While daemons of two releases run together, a mirror of the earlier one holds versions without an era. To a reader whose version has one it has nothing newer, ever, so the reader would miss all changes for as long as the mirror answers. Responses now name the era of their version; a reader whose era is missing there reads the store itself, as it does when a mirror is silent. A reader of the earlier release can use a mirror of this one.

TestMirrorOfAnEarlierReleaseIsNotUsed fails without the check: it gets a result.

--- a/internal/process/mirror/mirror_test.go
+++ b/internal/process/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,10 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
+	"github.com/cactusfork/cactusfork/internal/process/mirror/mirrorv1"
+	"github.com/cactusfork/cactusfork/internal/process/mirror/mirrorv1/mirrorv1connect"
 	"github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
@@ -101,6 +106,32 @@
 	}
 }
 
+func TestMirrorOfAnEarlierReleaseIsNotUsed(t *testing.T) {
+	path, h := mirrorv1connect.NewMirrorServiceHandler(earlierMirror{})
+	mux := http.NewServeMux()
+	mux.Handle(path, h)
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	client, address := NewClient((&net.Dialer{}).DialContext), strings.TrimPrefix(s.URL, "http://")
+	from, err := platform.NewVersion(1, 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := client.Read(t.Context(), address, "servers/", from, 0); !errors.Is(err, errNoEra) {
+		t.Errorf("got %+v, %v, want %v", got, err, errNoEra)
+	}
+	if _, err := client.Read(t.Context(), address, "servers/", 5, 0); err != nil {
+		t.Errorf("version without an era: got %v, want a result", err)
+	}
+}
+
+// earlierMirror returns the version of the request as a cache without newer changes does, and no era.
+type earlierMirror struct{}
+
+func (earlierMirror) Read(_ context.Context, req *connect.Request[mirrorv1.ReadRequest]) (*connect.Response[mirrorv1.ReadResponse], error) {
+	return connect.NewResponse(&mirrorv1.ReadResponse{Version: req.Msg.GetFrom()}), nil
+}
+
 func TestEvictedDeletionsForceAFullRead(t *testing.T) {
 	var c Cache
 	c.Apply(&Result{Full: true, Version: 1, Objects: []platform.Object{object("a", 1)}}, 1)
--- a/internal/process/mirror/serve.go
+++ b/internal/process/mirror/serve.go
@@ -27,6 +27,9 @@
 // ErrNotLoaded means that the mirror holds no objects under the prefix yet.
 var ErrNotLoaded = errors.New("mirror has not read the objects yet")
 
+// errNoEra means that the mirror is of an earlier release, which does not tell versions of two eras apart.
+var errNoEra = errors.New("mirror does not know the era of its version")
+
 // Handler returns the path and the handler that serve the caches, by prefix, to other daemons.
 func Handler(clk *clock.Clock, caches map[platform.Key]*Cache) (string, http.Handler) {
 	return mirrorv1connect.NewMirrorServiceHandler(&server{clk: clk, caches: caches}, connect.WithReadMaxBytes(maxMessageBytes))
@@ -48,7 +51,7 @@
 	if !ok {
 		return nil, connect.NewError(connect.CodeUnavailable, ErrNotLoaded)
 	}
-	res := &mirrorv1.ReadResponse{Version: uint64(r.Version), Whole: r.Full, AgeMs: int64(r.Age)}
+	res := &mirrorv1.ReadResponse{Version: uint64(r.Version), Whole: r.Full, AgeMs: int64(r.Age), Era: uint64(r.Version.Era())}
 	for _, o := range r.Objects {
 		res.Objects = append(res.Objects, &mirrorv1.Object{Key: string(o.Key), Version: uint64(o.Version), Value: o.Value, Deleted: o.Deleted})
 	}
@@ -73,6 +76,9 @@
 		return Result{}, fmt.Errorf("read mirror: %w", err)
 	}
 	m := res.Msg
+	if era := platform.Version(m.GetVersion()).Era(); era != platform.Era(m.GetEra()) {
+		return Result{}, fmt.Errorf("%w: got version of era %d and era %d", errNoEra, era, m.GetEra())
+	}
 	r := Result{Mirrored: true, Version: platform.Version(m.GetVersion()), Full: m.GetWhole(), Age: clock.Millis(m.GetAgeMs())}
 	for _, o := range m.GetObjects() {
 		r.Objects = append(r.Objects, platform.Object{Key: platform.Key(o.GetKey()), Version: platform.Version(o.GetVersion()), Value: o.GetValue(), Deleted: o.GetDeleted()})
