edge: write a lost leaving mark again

A daemon that stops marks its entry as leaving, once. When the store was restored from a copy of before, the mark was gone, and other daemons went on forwarding sessions to it until it had stopped, where they were cut. The periodic list now also writes the entry of a stopping daemon when it does not say so. A list that is older than the mark writes nothing.

TestLeavingMarkLostInARestoreIsWrittenAgain fails without the change: no write.

--- a/internal/process/edge/register.go
+++ b/internal/process/edge/register.go
@@ -145,7 +145,7 @@
 		}
 		listedVersion = objects[i].Version
 	}
-	if listed == d.ownEntry() || d.draining.Load() || !d.recordOwnVersion(listedVersion, version) {
+	if listed == d.ownEntry() || !d.recordOwnVersion(listedVersion, version) {
 		return
 	}
 	if err := d.writeOwnEntry(ctx, d.ownEntry()); err != nil {
--- a/internal/process/edge/restore_test.go
+++ b/internal/process/edge/restore_test.go
@@ -1,10 +1,15 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
+	"go.uber.org/zap"
+
 	"github.com/cactusfork/cactusfork/internal/process/mirror"
 	store "github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/pkg/clock"
@@ -151,3 +156,26 @@
 		t.Error("got a leaving target after its entry came back, want a present one")
 	}
 }
+
+func TestLeavingMarkLostInARestoreIsWrittenAgain(t *testing.T) {
+	set := &Settings{Daemon: DaemonSettings{ID: "d", DataCentre: "here", PeerAddress: "127.0.0.1:1"}, Limits: LimitSettings{Descriptors: 1000}}
+	d := New("", set, &clock.NewManual(1).Clock, zap.NewNop())
+	present, err := json.Marshal(d.ownEntry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var written []string
+	d.store = &store.Store{Put: func(_ context.Context, _ store.Key, value []byte, ifVersion store.Version) (store.Version, error) {
+		written = append(written, fmt.Sprintf("%s at %s", value, ifVersion))
+		return ifVersion + 1, nil
+	}}
+	d.draining.Store(true)
+	d.ownVersion = version(t, 1, 30) // of the leaving mark
+	lists := []store.Version{version(t, 1, 29), version(t, 2, 22)}
+	for _, v := range lists {
+		d.register(t.Context(), []store.Object{{Key: peerPrefix + "d", Version: v, Value: present}}, v)
+	}
+	if len(written) != 1 || !strings.Contains(written[0], `"leaving":true`) || !strings.HasSuffix(written[0], "at 2.22") {
+		t.Errorf("got writes %q, want the leaving mark once, over the entry of the copy", written)
+	}
+}
