soak: run daemons under restores, outages, restarts and silent primaries

Seeded series that overlap: the store refuses, hangs or loses responses and in six of ten cases comes back from a copy of up to 8 s, before or behind which targets and operator write again in either order; configurations follow at any time; daemons stop and start; primaries are silent.

--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/platform/standin"
+)
+
+const (
+	copyInterval clock.Millis = 200
+	// maxCopies is how many copies are kept, and so how old one can be.
+	maxCopies = 40
+	// maxOutage bounds an outage of the store, in milliseconds, and maxCalm the time between two. rewriteTime is the time within which targets and operator write again behind a restore.
+	maxOutage   = 2500
+	maxCalm     = 4000
+	rewriteTime = 300
+	// restoreShare is how many of ten outages end with a restore.
+	restoreShare = 6
+	// maxSilence bounds how long a primary is silent, in milliseconds.
+	maxSilence = 2500
+	// maxFaultGap bounds the time between two faults of a series, in milliseconds.
+	maxFaultGap = 4000
+)
+
+// copies holds the latest copies of the store, oldest first.
+type copies struct {
+	s    *soak
+	mu   sync.Mutex
+	list []*standin.Copy
+}
+
+func newCopies(s *soak) *copies { return &copies{s: s, list: []*standin.Copy{s.store.Copy()}} }
+
+// collect copies the store until the run's faults end.
+func (c *copies) collect(ctx context.Context) {
+	for {
+		select {
+		case <-c.s.stopped:
+			return
+		case <-ctx.Done():
+			return
+		case <-c.s.clk.After(copyInterval):
+		}
+		c.mu.Lock()
+		c.list = append(c.list, c.s.store.Copy())
+		c.list = c.list[max(0, len(c.list)-maxCopies):]
+		c.mu.Unlock()
+	}
+}
+
+func (c *copies) pick(r *rand.Rand) *standin.Copy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.list[r.IntN(len(c.list))]
+}
+
+// disturbStore makes the store unavailable for a while. Often it comes back from a copy, and a configuration follows at once.
+func (s *soak) disturbStore(ctx context.Context, r *rand.Rand) {
+	if s.clk.Sleep(ctx, clock.Millis(r.IntN(maxCalm))) != nil {
+		return
+	}
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	faults := []standin.Fault{{Status: http.StatusServiceUnavailable}, {Status: http.StatusTooManyRequests}, {LoseResponse: true}, {Hang: true}}
+	fault := faults[r.IntN(len(faults))]
+	s.store.SetFault(func(*http.Request) standin.Fault { return fault })
+	s.outages.Add(1)
+	_ = s.clk.Sleep(ctx, clock.Millis(r.IntN(maxOutage))) // the end of ctx only shortens the outage
+	if r.IntN(10) >= restoreShare {
+		s.store.SetFault(nil)
+		s.storeCalmAt.Store(int64(s.clk.Now()))
+		return
+	}
+	s.restores.Add(1)
+	s.store.Restore(s.config.copies.pick(r))
+	// Targets and operator may be back before the daemons.
+	backFirst := r.IntN(2) == 0
+	if backFirst {
+		s.writeAgain(ctx, r)
+	}
+	s.store.SetFault(nil)
+	if !backFirst {
+		s.writeAgain(ctx, r)
+	}
+	s.storeCalmAt.Store(int64(s.clk.Now()))
+}
+
+// writeAgain has the targets and the operator write what a restore has lost.
+func (s *soak) writeAgain(ctx context.Context, r *rand.Rand) {
+	_ = s.clk.Sleep(ctx, clock.Millis(r.IntN(rewriteTime))) // the end of ctx only shortens the pause
+	writes := []func(){s.group.WriteEntries, s.config.repeat}
+	if r.IntN(2) == 0 {
+		writes[1] = s.config.publish
+	}
+	r.Shuffle(len(writes), func(i, j int) { writes[i], writes[j] = writes[j], writes[i] })
+	for _, write := range writes {
+		write()
+	}
+}
+
+// restartDaemon stops a daemon in the usual way and starts it again.
+func (s *soak) restartDaemon(ctx context.Context, r *rand.Rand) {
+	if s.clk.Sleep(ctx, clock.Millis(r.IntN(maxFaultGap))) != nil {
+		return
+	}
+	s.restarts.Add(1)
+	s.fleet[r.IntN(len(s.fleet))].restart(ctx)
+}
+
+// silencePrimary keeps the primary from answering for a while.
+func (s *soak) silencePrimary(ctx context.Context, r *rand.Rand) {
+	if s.clk.Sleep(ctx, clock.Millis(r.IntN(maxFaultGap))) != nil {
+		return
+	}
+	p := s.group.Primary()
+	if p == nil {
+		return
+	}
+	s.primaryFaults.Add(1)
+	p.SetSilent(true)
+	_ = s.clk.Sleep(ctx, clock.Millis(r.IntN(maxSilence))) // the end of ctx only shortens the fault
+	p.SetSilent(false)
+}
