edge: take no audit of another era for an update

An audit lists the entries while a group is incomplete and keeps the version from which changes are read. Behind a restore its list is of the next era: entries of the copy were applied as if they were later than the known ones, and a missing one counted as gone since the last read. The next watch fails and lists anyway, so such an audit is now dropped.

TestAuditBehindARestoreAppliesNothing fails without the change: got targets ''. Found by reading.

--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -126,11 +126,11 @@
 	}
 }
 
-// audit lists the objects and applies the list, unless the list is older than version from.
+// audit lists the objects and applies the list, unless the list is older than version from or of another era, from which the next watch lists again.
 func (f *follower) audit(ctx context.Context, from store.Version) {
 	objects, version, err := f.stale.List(ctx, f.prefix)
 	f.d.log.Info("store audit ended", zap.String("prefix", string(f.prefix)), zap.Int("objects", len(objects)), zap.Stringer("version", version), zap.Stringer("from", from), zap.Error(err))
-	if err != nil || version < from {
+	if err != nil || version < from || version.Era() != from.Era() {
 		return // the control loop requests another audit
 	}
 	// The list is at least as new as the last read. The result keeps version from, so that all changes since are read again.
--- a/internal/process/edge/restore_test.go
+++ b/internal/process/edge/restore_test.go
@@ -141,6 +141,20 @@
 	}
 }
 
+func TestAuditBehindARestoreAppliesNothing(t *testing.T) {
+	f := newEntryFollower(&clock.NewManual(1000).Clock)
+	from := version(t, 1, 30)
+	f.process(t, mirror.Result{Full: true, Version: from, Objects: []store.Object{entryObject("a", from)}})
+	f.follower.stale = &store.Store{List: func(context.Context, store.Key) ([]store.Object, store.Version, error) {
+		return nil, version(t, 2, 20), nil
+	}}
+	f.follower.audit(t.Context(), from)
+	f.runControlLoop(t)
+	if got, want := f.presentTargets(), "a"; got != want {
+		t.Errorf("got targets %q, want %q until the list of the new era", got, want)
+	}
+}
+
 func TestTargetMissingInTheCopyMayWriteItsEntryAgain(t *testing.T) {
 	m := clock.NewManual(1000)
 	f := newEntryFollower(&m.Clock)
