edge: use the stand-in caller in tests

The harness had a session of its own, the same as platform/standin.Caller. Nothing is checked differently; a startup that is not answered with READY still fails the test.

--- a/internal/process/edge/harness_test.go
+++ b/internal/process/edge/harness_test.go
@@ -1,9 +1,7 @@
 package edge
 
 import (
-	"bufio"
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -137,50 +135,21 @@
 }
 
 // client is a caller with one session.
-type client struct {
-	t          *testing.T
-	conn       net.Conn
-	in         *bufio.Reader
-	statements int
-}
+type client struct{ session *standin.Caller }
 
 func (d *daemon) connect(database string) *client {
 	d.t.Helper()
-	conn, err := (&net.Dialer{}).DialContext(d.t.Context(), "tcp", d.set.Daemon.CallerAddress)
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	d.t.Cleanup(func() { _ = conn.Close() })
-	c := &client{t: d.t, conn: conn, in: bufio.NewReader(conn)}
-	if got := c.send("STARTUP " + database + " someone"); !strings.HasPrefix(got, "READY I") {
-		d.t.Fatalf("startup: got %q, want ready", got)
-	}
-	return c
-}
-
-// send writes a line and returns the reply up to and including its READY line.
-func (c *client) send(line string) string {
-	_ = c.conn.SetDeadline(time.Now().Add(testTimeout))
-	if _, err := fmt.Fprintf(c.conn, "%s\r\n", line); err != nil {
-		return "broken"
-	}
-	var all []string
-	for {
-		got, err := c.in.ReadString('\n')
-		if err != nil {
-			return strings.Join(append(all, "broken"), ", ")
-		}
-		all = append(all, strings.TrimSpace(got))
-		if strings.HasPrefix(got, "READY") {
-			return strings.Join(all, ", ")
-		}
+	session, reply := standin.Connect(d.t.Context(), d.set.Daemon.CallerAddress, database, testTimeout)
+	if session == nil {
+		d.t.Fatalf("startup: got %q, want ready", reply)
 	}
+	d.t.Cleanup(session.Close)
+	return &client{session: session}
 }
 
 // query runs one statement and returns the reply without the transaction state at its end.
 func (c *client) query(text string) string {
-	c.statements++
-	got := c.send(fmt.Sprintf("QUERY q%d %s", c.statements, text))
+	got := c.session.Query(text)
 	i := strings.LastIndex(got, " ")
 	return got[:max(i, 0)]
 }
