edge: count the pause behind a failed call from its start

The second part of a late return behind an outage in which calls hang: a call that had hung for the time-out of 1.5 s was followed by a pause of up to 1.5 s. The pause now counts from the call on; a quarter of it at most, at random, remains, so that daemons whose calls end at the same moment do not call again at the same moment.

TestCallThatHungHardlyDelaysTheNext fails with the former pause.

--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -20,6 +20,8 @@
 	// minRetryDelay is the wait before the first retry after a failed call to the store, in milliseconds. The wait doubles up to maxRetryDelay.
 	minRetryDelay clock.Millis = 100
 	maxRetryDelay clock.Millis = 1000
+	// jitterDivisor divides the delay to get the longest wait after a call that took longer than the delay.
+	jitterDivisor = 4
 	// configBatchPause and entriesBatchPause are the waits after changes, in milliseconds, so that one call brings several.
 	configBatchPause  clock.Millis = 150
 	entriesBatchPause clock.Millis = 100
@@ -95,7 +97,7 @@
 			from, f.gap = 0, true
 			continue
 		}
-		if !f.handleResult(ctx, from, &r, err) {
+		if !f.handleResult(ctx, from, &r, requestedAt, err) {
 			f.gap = true
 			continue
 		}
@@ -228,8 +230,8 @@
 	return mirror.Result{Objects: objects, Version: version}, err
 }
 
-// handleResult reports whether the call for the changes after version from succeeded, and waits after a failure.
-func (f *follower) handleResult(ctx context.Context, from store.Version, r *mirror.Result, err error) bool {
+// handleResult reports whether the call that was made at requestedAt for the changes after version from succeeded, and waits after a failure. The wait counts from the call on, so that a call that hung hardly delays the next.
+func (f *follower) handleResult(ctx context.Context, from store.Version, r *mirror.Result, requestedAt clock.Millis, err error) bool {
 	if ctx.Err() != nil {
 		return false
 	}
@@ -248,7 +250,10 @@
 		f.d.setStoreUp(ctx, f.prefix, false)
 	}
 	f.retryDelay = min(max(2*f.retryDelay, minRetryDelay), maxRetryDelay)
-	_ = f.d.clk.Sleep(ctx, f.retryDelay/2+clock.Millis(rand.Int64N(int64(f.retryDelay)))) // the caller checks ctx
+	wait := f.retryDelay/2 + clock.Millis(rand.Int64N(int64(f.retryDelay)))
+	// Daemons whose calls hung until the same moment must not call again at the same moment.
+	jitter := clock.Millis(rand.Int64N(int64(f.retryDelay / jitterDivisor)))
+	_ = f.d.clk.Sleep(ctx, max(requestedAt+wait-f.d.clk.Now(), jitter)) // the caller checks ctx
 	return false
 }
 
--- a/internal/process/edge/follow_test.go
+++ b/internal/process/edge/follow_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -158,3 +159,25 @@
 		}
 	}
 }
+
+func TestCallThatHungHardlyDelaysTheNext(t *testing.T) {
+	clk := clock.System()
+	tests := []struct {
+		name   string
+		hung   clock.Millis
+		waited bool
+	}{
+		{"failed at once", 0, true},
+		{"hung for longer than the longest wait", 2 * maxRetryDelay, false},
+	}
+	for _, tt := range tests {
+		f := newEntryFollower(clk).follower
+		f.retryDelay = maxRetryDelay
+		ctx, cancel := context.WithTimeout(t.Context(), (maxRetryDelay * 2 / 5).Duration())
+		f.handleResult(ctx, 0, &mirror.Result{}, clk.Now()-tt.hung, store.ErrUnavailable)
+		if got := ctx.Err() != nil; got != tt.waited {
+			t.Errorf("%s: got waited %t, want %t", tt.name, got, tt.waited)
+		}
+		cancel()
+	}
+}
