edge: order entries of a later era in each list, not only the first

A second list of the era, as after dropped history, can still show an entry as of the copy, for the second or so until its target writes again. It was applied, as only the first list was compared by what the target had written. Each list is now compared so while the known entry is of an older era; changes of the era apply as before.

TestEntryOfTheCopyDoesNotReplaceANewerOne has the case 'listed again', which fails without the change: got 'ready primary'.

--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -249,7 +249,7 @@
 		}
 	}
 	known := g.members[e.ID]
-	if known != nil && (known.meta.Load().Revision > e.Revision || m.restored && e.WrittenBefore(known.meta.Load())) {
+	if known != nil && isOlderEntry(e, known.meta.Load(), m.full) {
 		c.d.log.Info("older target entry ignored", zap.String("target", string(e.ID)), zap.Stringer("revision", store.Version(e.Revision)), zap.Stringer("current", store.Version(known.meta.Load().Revision)))
 		return
 	}
@@ -286,6 +286,14 @@
 	known.meta.Store(e)
 }
 
+// isOlderEntry reports whether an entry is older than the known one of its target. A list of a later era may show the entry as of the copy from which the store was restored; listed tells whether e is from a list.
+func isOlderEntry(e, known *topology.Target, listed bool) bool {
+	if listed && store.Version(e.Revision).Era() > store.Version(known.Revision).Era() {
+		return e.WrittenBefore(known)
+	}
+	return e.Revision < known.Revision
+}
+
 func (c *controlLoop) logEntry(msg string, e *topology.Target) {
 	c.d.log.Info(msg, zap.String("target", string(e.ID)), zap.String("group", string(e.Group)),
 		zap.Bool("primary", e.Primary), zap.Bool("draining", e.Draining), zap.Stringer("revision", store.Version(e.Revision)))
--- a/internal/process/edge/restore_test.go
+++ b/internal/process/edge/restore_test.go
@@ -111,6 +111,7 @@
 		want    string
 	}{
 		{"older write", []mirror.Result{list(entry(copied, 5, 3, "ready", "primary"))}, "draining replica"},
+		{"older write, listed again", []mirror.Result{list(entry(copied, 5, 3, "ready", "primary")), list(entry(copied, 5, 3, "ready", "primary"))}, "draining replica"},
 		{"older start", []mirror.Result{list(entry(copied, 4, 90, "ready", "primary"))}, "draining replica"},
 		{"the same write", []mirror.Result{list(entry(copied, 5, 7, "draining", "replica"))}, "draining replica"},
 		{"later write", []mirror.Result{list(entry(copied, 5, 8, "draining", "primary"))}, "draining primary"},
