--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,16 +11,13 @@
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
-// TestCallersUnderRepeatedFaults runs the seeds 1 to SOAK_SEEDS, by default 3.
+// TestCallersUnderRepeatedFaults runs the seeds 1 to SOAK_SEEDS, by default 3, with SOAK_DAEMONS daemons, by default 7.
 func TestCallersUnderRepeatedFaults(t *testing.T) {
-	seeds := 3
-	if v, err := strconv.Atoi(os.Getenv("SOAK_SEEDS")); err == nil {
-		seeds = v
-	}
-	for seed := range seeds {
+	daemons := number(t, "SOAK_DAEMONS", 7)
+	for seed := range number(t, "SOAK_SEEDS", 3) {
 		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
 			t.Parallel()
-			r, err := Run(t.Context(), Config{Seed: uint64(seed + 1), Daemons: 7, Length: 25 * clock.Second, Log: zap.NewNop()})
+			r, err := Run(t.Context(), Config{Seed: uint64(seed + 1), Daemons: daemons, Length: 25 * clock.Second, Log: zap.NewNop()})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -34,3 +31,17 @@
 		})
 	}
 }
+
+// number returns the number in an environment variable, or the default.
+func number(t *testing.T, name string, byDefault int) int {
+	t.Helper()
+	value := os.Getenv(name)
+	if value == "" {
+		return byDefault
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return n
+}
