--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -35,12 +35,11 @@
 		}
 		s.probes.Add(1)
 		switch {
-		case !standin.NoRoute(got):
-			if standin.Completed(got) || standin.HasRow(got, "") {
-				if version > shown {
-					shown, shownAt = version, s.clk.Now()
-				}
+		case standin.Completed(got) || standin.HasRow(got, ""):
+			if version > shown {
+				shown, shownAt = version, s.clk.Now()
 			}
+		case !standin.NoRoute(got): // a refusal tells nothing about the configuration
 		case version <= shown && sentAt > shownAt+regressLimit:
 			s.report("%s: version %d was in force and is not any more", d.id, version)
 		case sentAt > due:
