--- a/internal/soak/daemon.go
+++ b/internal/soak/daemon.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	drainTime   = 7 * clock.Second
-	graceTime   = 4 * clock.Second
-	noticeTime  = 50
-	callTimeout = 1500
+	// Settings of the daemons.
+	drainTime                = 7 * clock.Second
+	graceTime                = 4 * clock.Second
+	noticeTime  clock.Millis = 50
+	callTimeout clock.Millis = 1500
 	// firstHost is the last byte of the first daemon's address.
 	firstHost = 10
 	// addressPoll is the time between two attempts to listen, in milliseconds.
@@ -31,7 +32,7 @@
 	s   *soak
 	id  string
 	set *edge.Settings
-	// stop has a value for each restart, and stopped one when the daemon has stopped for it.
+	// stop receives a value for each restart.
 	stop chan struct{}
 	// startedAt is when the daemon last started; 0 while it stops.
 	startedAt atomic.Int64
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/platform/standin"
 )
 
 const (
@@ -68,18 +69,10 @@
 
 // put writes the latest configuration; the caller holds o.mu.
 func (o *operator) put() {
-	route := func(host, kind string) map[string]any {
-		return map[string]any{
-			"Name": "r-" + host, "Host": host, "Type": kind, "TimeoutMs": 2000, "SloMs": 400, "Priority": 1, "Service": groupName, "MaxStalenessMs": 1500,
-		}
-	}
-	routes := []any{route(entriesDatabase, "primary")}
+	databases := []string{entriesDatabase}
 	for v := max(1, o.version-routesKept); v <= o.version; v++ {
-		routes = append(routes, route(database(v), "bounded_staleness"))
+		databases = append(databases, database(v))
 	}
-	o.s.store.Set("config", "main", map[string]any{
-		"Version": o.version, "Routes": routes, "Limits": map[string]any{"TxIdleMs": 3000},
-		"Services": []any{map[string]any{"Name": groupName, "MaxConns": 60, "SyncReplicas": 0}},
-	})
+	o.s.store.Set("config", "main", standin.Config(o.version, groupName, databases...))
 	o.ackedAt = o.s.clk.Now()
 }
