link: wait for the setup of a connection before the statement is sent

Cause: the session's values, its prepared statement and the statement itself were sent in one go. A target that refuses the SET runs the statement all the same. The daemon took the refusal as proof that nothing had run and repeated the write. Reads, transactions and EXECUTE ran without the value, too.

Change: Conn.Setup returns once the target has confirmed all values and the prepared statement; the statement is sent only then. A failed setup is retried or refused as not run. A refusal keeps the connection, whose next setup starts with a reset. A setup without a reply is given up after 400 ms.

Why it works: a statement that was never sent cannot have run, whatever the reply to its setup or its loss.

Cost: a round trip where the values are not in force on the connection.

--- a/internal/connection/caller/fault_test.go
+++ b/internal/connection/caller/fault_test.go
@@ -126,3 +126,30 @@
 		t.Errorf("got floor %v, want %v", got, want)
 	}
 }
+
+// TestRefusedSettingsRunNothing guards against a statement that runs although the target refused the session's parameters.
+func TestRefusedSettingsRunNothing(t *testing.T) {
+	for _, sql := range []string{writeSQL, readSQL} {
+		for mode, m := range modes {
+			t.Run(sql+" "+mode, func(t *testing.T) {
+				h := newHarness(t)
+				ctx := context.Background()
+				c, err := pgx.Connect(ctx, h.url()+"&search_path=fails")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close(ctx)
+				_, err = c.Exec(ctx, sql, m)
+				if got, want := codeOf(err), "23505"; got != want {
+					t.Errorf("got error %q, want %q", got, want)
+				}
+				if got := detailOf(err); got != refusal.NotRunDetail {
+					t.Errorf("got detail %q, want %q", got, refusal.NotRunDetail)
+				}
+				if got := h.totalRuns(sql); got != 0 {
+					t.Errorf("got %d runs, want 0", got)
+				}
+			})
+		}
+	}
+}
--- a/internal/connection/link/conn.go
+++ b/internal/connection/link/conn.go
@@ -17,7 +17,7 @@
 // maxPrepared is the number of prepared statements on a connection at which a Reset drops them all.
 const maxPrepared = 128
 
-// ErrSetupRefused means that a target has refused to set a session value or to prepare a statement.
+// ErrSetupRefused means that a target has refused to set a session value or to prepare a statement. The connection stays usable.
 var ErrSetupRefused = errors.New("target refused a value or prepared statement of the session")
 
 // Prepared is a statement shape that a caller has prepared.
@@ -50,6 +50,10 @@
 	// values are the session values in force on the connection, and prepared the names of its prepared statements.
 	values   Values
 	prepared map[string]bool
+	// setupUnknown is true after a refused setup, which may be in force in part. The next setup starts with a Reset.
+	setupUnknown bool
+	// state is the transaction state of the last reply.
+	state statement.State
 	// lastSend is when the last command was sent, and lastReply when the last reply arrived.
 	lastSend  clock.Millis
 	lastReply clock.Millis
@@ -105,13 +109,46 @@
 	}
 	c.pending--
 	c.lastReply = c.clk.Now()
+	c.state = r.State
 	return r, nil
 }
 
-// Setup returns the commands that put the values v and, unless p is nil, the prepared statement p in force on the connection.
-// It records them as in force, so the caller has to send the commands.
-func (c *Conn) Setup(v *Values, p *Prepared) []Command {
+// Setup puts the values v and, unless p is nil, the prepared statement p in force on the connection. It returns only after the
+// target has confirmed them, because a statement that is sent together with a setup runs even if the target refuses the setup. The
+// error of a refusal wraps ErrSetupRefused; any other error breaks the connection.
+func (c *Conn) Setup(deadline clock.Millis, v *Values, p *Prepared) error {
+	commands := c.setupCommands(v, p)
+	if len(commands) == 0 {
+		return nil
+	}
+	before := c.state
+	if err := c.Send(deadline, commands...); err != nil {
+		return fmt.Errorf("send setup: %w", err)
+	}
+	var refused error
+	for range commands {
+		r, err := c.Receive(deadline)
+		if err != nil {
+			c.Break()
+			return fmt.Errorf("receive reply to setup: %w", err)
+		}
+		if !r.Completed && refused == nil {
+			refused = fmt.Errorf("%s %s: %w", r.Code, r.Text, ErrSetupRefused)
+		}
+	}
+	c.setupUnknown = refused != nil
+	if refused != nil && c.state != before {
+		c.Break()
+	}
+	return refused
+}
+
+// setupCommands returns the commands that put v and p in force, and records them as in force.
+func (c *Conn) setupCommands(v *Values, p *Prepared) []Command {
 	list, reset := v.commands(&c.values)
+	if c.setupUnknown {
+		list, reset = c.resetAll(v), true
+	}
 	if len(list) > 0 {
 		c.values = v.clone()
 	}
@@ -120,7 +157,7 @@
 	}
 	if p != nil && !c.prepared[p.name] {
 		if len(c.prepared) >= maxPrepared {
-			list = append([]Command{{Kind: Reset}}, c.setAll(v)...)
+			list = c.resetAll(v)
 			clear(c.prepared)
 		}
 		c.prepared[p.name] = true
@@ -129,36 +166,21 @@
 	return list
 }
 
-// setAll returns the commands that set every value of v.
-func (c *Conn) setAll(v *Values) []Command {
+// resetAll returns the commands that drop all values and prepared statements and then set every value of v.
+func (c *Conn) resetAll(v *Values) []Command {
 	list, _ := v.commands(&Values{})
-	return list
+	return append([]Command{{Kind: Reset}}, list...)
 }
 
 // Forget records that the target does not know the prepared statement.
 func (c *Conn) Forget(p *Prepared) { delete(c.prepared, p.name) }
 
-// Run sends the setup and the last command, and returns the reply to the last one. A setup command that the target refuses
-// breaks the connection and gives ErrSetupRefused.
-func (c *Conn) Run(deadline clock.Millis, setup []Command, last Command) (Reply, error) {
-	if err := c.Send(deadline, append(setup, last)...); err != nil {
+// Run sends a command and returns the reply to it.
+func (c *Conn) Run(deadline clock.Millis, command Command) (Reply, error) {
+	if err := c.Send(deadline, command); err != nil {
 		return Reply{}, err
 	}
-	return c.ReceiveLast(deadline)
-}
-
-// ReceiveLast reads all outstanding replies and returns the last one. All replies before it must report success.
-func (c *Conn) ReceiveLast(deadline clock.Millis) (Reply, error) {
-	for {
-		r, err := c.Receive(deadline)
-		if err != nil || c.pending == 0 {
-			return r, err
-		}
-		if !r.Completed {
-			c.Break()
-			return r, fmt.Errorf("%s %s: %w", r.Code, r.Text, ErrSetupRefused)
-		}
-	}
+	return c.Receive(deadline)
 }
 
 // ProvePrimary begins and ends a transaction, which only the primary accepts and which takes no slot. It returns the reply to
--- a/internal/connection/link/pool_test.go
+++ b/internal/connection/link/pool_test.go
@@ -60,8 +60,8 @@
 	a.Set("x", "1")
 	b.Set("x", "2")
 	first, second := get(t, p, &a), get(t, p, &b)
-	first.Setup(&a, nil)
-	second.Setup(&b, nil)
+	first.setupCommands(&a, nil)
+	second.setupCommands(&b, nil)
 	p.Put(first)
 	p.Put(second)
 	if got := get(t, p, &a); got != first {
@@ -171,7 +171,7 @@
 	}
 	c := newConn("t", Wire{}, nil, clock.System())
 	for _, tt := range tests {
-		got := c.Setup(tt.values, tt.stmt)
+		got := c.setupCommands(tt.values, tt.stmt)
 		if len(got) != len(tt.want) {
 			t.Errorf("%s: got %v, want kinds %v", tt.name, got, tt.want)
 			continue
--- a/internal/connection/relay/harness_test.go
+++ b/internal/connection/relay/harness_test.go
@@ -246,6 +246,9 @@
 		order = []int{0}
 	}
 	for _, i := range order {
+		if i >= len(b.targets) {
+			continue
+		}
 		f := b.targets[i]
 		tried := false
 		for _, id := range req.Need.Tried {
--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -196,12 +196,15 @@
 	if e.writes {
 		floor = position.Point{}
 	}
+	if err := e.setUp(l, e.replyDeadline()); err != nil {
+		return e.handleSetupError(l, err)
+	}
 	sentAt := e.s.now()
 	e.s.server.hedges.RecordRequest()
-	reply, err := l.Conn.Run(e.replyDeadline(), l.Conn.Setup(&e.s.values, e.prepared), e.command(floor))
+	reply, err := l.Conn.Run(e.replyDeadline(), e.command(floor))
 	if e.canKeepWaiting(err) && !e.s.server.hedges.Take(e.s.now()) {
 		// The retry budget is used up. A second attempt would add to the load that slows down the first one.
-		reply, err = l.Conn.ReceiveLast(e.deadline)
+		reply, err = l.Conn.Receive(e.deadline)
 	}
 	if err != nil {
 		return e.handleConnError(l, err)
@@ -218,6 +221,31 @@
 	return e.finishAttempt(l)
 }
 
+// setUp puts the values of the session and the prepared statement in force on the connection. The statement must not be sent if it
+// fails.
+func (e *execution) setUp(l *Lease, deadline clock.Millis) error {
+	err := l.Conn.Setup(min(deadline, e.s.now()+setupTimeout), &e.s.values, e.prepared)
+	if err != nil && !errors.Is(err, link.ErrSetupRefused) {
+		e.s.deps().ConnFailed(e.req.Group, l.Target, l.Conn.LastSend(), err)
+	}
+	return err
+}
+
+// setupTimeout bounds a setup, whose commands take no slot at the target, in milliseconds.
+const setupTimeout clock.Millis = 400
+
+// handleSetupError ends an attempt whose statement was not sent, because the setup before it failed.
+func (e *execution) handleSetupError(l *Lease, err error) attemptResult {
+	e.outcome.Cause = err.Error()
+	e.req.Need.Tried = append(e.req.Need.Tried, l.Target)
+	e.returnLease(l)
+	if e.s.now() < e.deadline {
+		return attemptRetry
+	}
+	e.fail(statement.Busy, "no target accepted the values of the session in time")
+	return attemptDone
+}
+
 // verifyCommit reports whether a successful commit may be acknowledged, and records it if so. The target must still be
 // the primary: a commit that ran while the primary was replaced is in no log afterwards.
 func (e *execution) verifyCommit(l *Lease, r *link.Reply) bool {
@@ -293,7 +321,7 @@
 	}
 	e.req.Need.Tried = append(e.req.Need.Tried, l.Target)
 	switch {
-	case e.writes && !errors.Is(err, link.ErrSetupRefused):
+	case e.writes:
 		e.fail(statement.Unknown, "no answer to a write that was sent")
 		return attemptDone
 	case e.s.now() >= e.deadline:
--- a/internal/connection/relay/transaction.go
+++ b/internal/connection/relay/transaction.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/request/placement"
@@ -33,12 +32,15 @@
 // attemptBegin begins the transaction on one target and runs its first statement there.
 func (e *execution) attemptBegin(ctx context.Context, l *Lease) attemptResult {
 	tx := e.s.tx
+	if err := e.setUp(l, e.deadline); err != nil {
+		return e.handleSetupError(l, err)
+	}
 	sentAt := e.s.now()
 	begin := link.Command{Kind: link.Forward, ID: tx.begin.ID, Text: tx.begin.Text}
 	if !e.req.Need.PrimaryOnly {
 		begin.Floor = e.req.Need.Floor
 	}
-	reply, err := l.Conn.Run(min(e.deadline, sentAt+beginTimeout), l.Conn.Setup(&e.s.values, e.prepared), begin)
+	reply, err := l.Conn.Run(min(e.deadline, sentAt+beginTimeout), begin)
 	if err != nil {
 		// No statement after the BEGIN was sent.
 		e.outcome.Cause = err.Error()
@@ -70,12 +72,16 @@
 	e.outcome.Attempts = max(e.outcome.Attempts, 1)
 	e.outcome.Target, e.outcome.Primary = l.Target, l.Primary
 	for {
+		if err := e.setUp(l, e.deadline); err != nil {
+			e.endTransaction(err, false)
+			return
+		}
 		sentAt := e.s.now()
-		reply, err := l.Conn.Run(e.deadline, l.Conn.Setup(&e.s.values, e.prepared), e.command(position.Point{}))
+		reply, err := l.Conn.Run(e.deadline, e.command(position.Point{}))
 		if err != nil {
 			l.Conn.Break()
 			e.s.deps().ConnFailed(e.req.Group, l.Target, l.Conn.LastSend(), err)
-			e.handleConnErrorInTransaction(err)
+			e.endTransaction(err, e.st.Verb == statement.Commit && e.s.tx.wrote)
 			return
 		}
 		e.s.deps().TargetReplied(e.req.Group, l.Target, &reply, e.s.now()-sentAt)
@@ -127,16 +133,15 @@
 	e.deliver(r)
 }
 
-// handleConnErrorInTransaction ends a statement whose reply did not arrive. Only a COMMIT can have taken effect.
-func (e *execution) handleConnErrorInTransaction(err error) {
+// endTransaction ends the transaction because of an error other than a reply to its statement. It has taken effect at most if
+// mayHaveCommitted is set, which means that a COMMIT of writes was sent.
+func (e *execution) endTransaction(err error, mayHaveCommitted bool) {
 	e.outcome.Cause = err.Error()
-	tx := e.s.tx
-	committing := e.st.Verb == statement.Commit && tx.wrote && !errors.Is(err, link.ErrSetupRefused)
 	e.s.returnTransactionLease()
 	if e.st.Verb == statement.Commit {
 		e.s.tx = nil
 	}
-	if committing {
+	if mayHaveCommitted {
 		e.fail(statement.Unknown, "no answer to a commit that was sent")
 	} else {
 		e.fail(statement.Rejected, "target was lost before the commit, transaction is rolled back")
--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -271,7 +271,7 @@
 		return link.Report{}, fmt.Errorf("run command: %w", err)
 	}
 	defer t.pool.Put(conn)
-	r, err := conn.Run(deadline, nil, c)
+	r, err := conn.Run(deadline, c)
 	if err != nil {
 		conn.Break()
 		return link.Report{}, fmt.Errorf("run command: %w", err)
--- a/internal/process/edge/probe.go
+++ b/internal/process/edge/probe.go
@@ -71,7 +71,7 @@
 		d.control.trySend(readOnlyReply{group: g.id, target: id})
 	}
 	t.recordReply(&r, 0)
-	r, err = conn.Run(deadline, nil, link.Command{Kind: link.Status})
+	r, err = conn.Run(deadline, link.Command{Kind: link.Status})
 	if err != nil {
 		conn.Break()
 		d.handleFailure(g.id, id, sentAt, err)
