--- a/internal/connection/relay/session.go
+++ b/internal/connection/relay/session.go
@@ -19,6 +19,8 @@
 	maxSetupEntries = 1024
 	// configPollInterval is how often a startup checks for the first configuration, in milliseconds.
 	configPollInterval clock.Millis = 20
+	// maxReportedID is how much of the ID of a malformed message is reported, in bytes.
+	maxReportedID = 64
 )
 
 // session is one caller connection. Its own goroutine uses all fields except those that mu guards.
@@ -169,6 +171,9 @@
 		return false
 	}
 	s.fail(bad.Code, bad.Reason)
+	now := s.now()
+	id := bad.ID[:min(len(bad.ID), maxReportedID)]
+	s.deps().Report(&Outcome{Session: s.id, ID: id, Database: s.database, Code: bad.Code, Cause: bad.Reason, Arrived: now, Finished: now})
 	if bad.Fatal {
 		_ = s.flush() // the session ends anyway
 	}
