relay: roll back the home's transaction when a message is malformed

A caller whose message cannot be parsed inside a transaction was told that the transaction has failed. If another daemon served the session, the message never got there: the transaction stayed open at that daemon, and a COMMIT behind it was forwarded and committed the writes.

Evidence: the new test on the old code gets "body by p, I" for the COMMIT, want "rejected, I".

The session now closes its connection to the other daemon, which rolls back there. It continues at this daemon in the failed transaction, and goes back to the other daemon once it is idle, as after any loss of it.

--- a/internal/connection/relay/forward_test.go
+++ b/internal/connection/relay/forward_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/cactusfork/cactusfork/internal/connection/link"
+	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
 )
@@ -134,3 +136,43 @@
 		t.Errorf("got recorded home replies %v, want %v", b.homeRefusals, want)
 	}
 }
+
+// Guards against a transaction that a home daemon commits although its caller was told that it has failed.
+func TestMalformedMessageEndsTheTransactionOfTheHome(t *testing.T) {
+	tests := []struct {
+		name      string
+		exchanges []exchange
+	}{
+		{"commit", []exchange{{"COMMIT", "rejected, I"}}},
+		{"rollback", []exchange{{"ROLLBACK", "complete, I"}}},
+		{"another statement, then commit", []exchange{{"WRITE a 2", "malformed, E"}, {"COMMIT", "rejected, I"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newTestBed(t, topology.Strong)
+			attachHome(b)
+			closed := 0
+			b.session.home.Wire.Close = func() error { closed++; return nil }
+			b.exec("BEGIN")
+			b.exec("WRITE a 1")
+			b.replies = nil
+			if !b.session.handleMessageError(&statement.MessageError{ID: "m", Code: statement.Malformed}) {
+				t.Fatal("got the session ended, want it to continue")
+			}
+			if got, want := strings.Join(b.replies, ", "), "malformed, E"; got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+			if closed != 1 {
+				t.Errorf("got %d connections to the home closed, want 1, which rolls back there", closed)
+			}
+			for _, x := range tt.exchanges {
+				if got := b.exec(x.text); got != x.want {
+					t.Errorf("%s: got %q, want %q", x.text, got, x.want)
+				}
+			}
+			if got, want := b.outcomes[2].Code, statement.Malformed; got != want || b.outcomes[2].ID != "m" {
+				t.Errorf("got %+v reported, want %v for m", b.outcomes[2], want)
+			}
+		})
+	}
+}
--- a/internal/connection/relay/session.go
+++ b/internal/connection/relay/session.go
@@ -216,6 +216,9 @@
 func (s *session) abortTransaction() {
 	s.tx.failed = true
 	s.returnTransactionLease()
+	if s.home != nil {
+		s.closeHome() // a later COMMIT must not reach the transaction there
+	}
 }
 
 // returnTransactionLease rolls back what is open on the connection of the transaction and gives the connection back.
