edge: count every target that may hold acknowledged commits for the quorum

Cause: the quorum was counted over the targets that the daemon knows. One whose entry has expired is forgotten after 2.5 s, so the deaf replica alone was taken for certain to hold everything. A daemon that starts never knew the other one. On the same path, the replicas were resumed before the promotion was requested, so that a primary that was back got commits acknowledged which the successor lacked. Both break the same promise in the same step, and the second needs the record of the first to end a pause safely; hence one commit.

Evidence: with the old logic TestReplicaWithoutEntryCountsForTheQuorum fails with "got g-1 promoted with ["a 1" "background 38"], want none", and TestNothingIsAcknowledgedDuringAPromotion with "got log [], want the acknowledged "a 9" in it".

Change: for groups with SyncReplicas the store records the holders, the runs of targets that may hold acknowledged commits. The quorum is counted over them. A holder is dropped once its target is unknown for 3 s and enough replicas hold a position that the primary showed after that. Replicas stay paused until the promotion is over; a claim whose promotion got no answer stays unsettled, and whoever finds a stalled replica behind an answering primary fences that promotion off and resumes. A hand-over needs no quorum.

Why it works: each acknowledged commit is held by the primary and by SyncReplicas others among the holders, which dropping under that proof keeps true; so the answers of all holders but one primary and SyncReplicas - 1 others include it.

--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -40,6 +40,17 @@
 	Holder group.DaemonID `json:"holder"`
 	// Open is true until the change has ended.
 	Open bool `json:"open"`
+	// Unsettled is true while a promotion that was requested under an earlier claim may still be executed.
+	Unsettled bool `json:"unsettled,omitempty"`
+}
+
+// heldClaim is a claim that this daemon holds.
+type heldClaim struct {
+	fence store.Version
+	// takenAt is when it was requested.
+	takenAt clock.Millis
+	// unsettled is true if a promotion under it, or under an earlier claim, may still be executed.
+	unsettled bool
 }
 
 var (
@@ -67,29 +78,42 @@
 
 // replacePrimary takes the group's claim, selects a target and promotes it. It returns the selected target, if any.
 func (d *Daemon) replacePrimary(ctx context.Context, g *groupView, action promotion.Action) (group.TargetID, error) {
-	fence, err := d.takeClaim(ctx, g.id)
+	c, err := d.takeClaim(ctx, g.id)
 	if err != nil {
 		return "", err
 	}
-	d.log.Info("primary change claim acquired", zap.String("group", string(g.id)), zap.Stringer("fence", fence))
-	defer d.closeClaim(ctx, g.id, fence)
+	d.log.Info("primary change claim acquired", zap.String("group", string(g.id)), zap.Stringer("fence", c.fence), zap.Bool("unsettled", c.unsettled))
+	defer func() { d.closeClaim(ctx, g.id, c) }()
 	successor, err := d.selectSuccessor(ctx, g, action)
 	if err != nil {
+		d.resumeIfPaused(ctx, g, action, &c)
 		return "", err
 	}
 	id := successor.meta.Load().ID
-	if err := d.promoteAndWait(ctx, g, successor, fence); err != nil {
+	if err := d.promoteAndWait(ctx, g, successor, c.fence); err != nil {
+		// It may still be executed, so the replicas stay paused: what they received now might be missing at the successor.
+		c.unsettled = true
 		return id, err
 	}
+	c.unsettled = false
+	d.resumeIfPaused(ctx, g, action, &c)
 	return id, nil
 }
 
-// takeClaim writes a claim over one that is closed or expired, and returns the fencing token.
-func (d *Daemon) takeClaim(ctx context.Context, g group.ID) (store.Version, error) {
+// resumeIfPaused lets the replicas that selectSuccessor has paused receive again. Once the claim may have expired, another daemon may
+// have paused them; then holderKeeper resumes them.
+func (d *Daemon) resumeIfPaused(ctx context.Context, g *groupView, action promotion.Action, c *heldClaim) {
+	if action == promotion.Replace && d.syncReplicas(g.id) > 0 && !c.unsettled && d.clk.Now()-c.takenAt < claimTTL {
+		d.resumeReplicas(ctx, g)
+	}
+}
+
+// takeClaim writes a claim over one that is closed or expired.
+func (d *Daemon) takeClaim(ctx context.Context, g group.ID) (heldClaim, error) {
 	key := store.Key(claimPrefix + string(g))
 	stored, err := d.store.Get(ctx, key)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return 0, fmt.Errorf("read claim: %w", err)
+		return heldClaim{}, fmt.Errorf("read claim: %w", err)
 	}
 	var current claim
 	if err == nil {
@@ -99,16 +123,17 @@
 	}
 	now := d.clk.Now()
 	if current.Open && current.Holder != d.id && !d.claimExpired(g, stored.Version, now) {
-		return 0, fmt.Errorf("%w: %s", errClaimed, current.Holder)
+		return heldClaim{}, fmt.Errorf("%w: %s", errClaimed, current.Holder)
 	}
-	fence, err := d.store.Put(ctx, key, encodeClaim(claim{Holder: d.id, Open: true}), stored.Version)
+	c := heldClaim{takenAt: now, unsettled: current.Open || current.Unsettled}
+	c.fence, err = d.store.Put(ctx, key, encodeClaim(claim{Holder: d.id, Open: true, Unsettled: c.unsettled}), stored.Version)
 	if errors.Is(err, store.ErrConflict) {
-		return 0, fmt.Errorf("%w: %w", errClaimed, err)
+		return heldClaim{}, fmt.Errorf("%w: %w", errClaimed, err)
 	}
 	if err != nil {
-		return 0, fmt.Errorf("write claim: %w", err)
+		return heldClaim{}, fmt.Errorf("write claim: %w", err)
 	}
-	return fence, nil
+	return c, nil
 }
 
 // claimExpired records an open claim of another daemon, and reports whether it has been unchanged for claimTTL.
@@ -129,8 +154,8 @@
 	firstRead clock.Millis
 }
 
-func (d *Daemon) closeClaim(ctx context.Context, g group.ID, fence store.Version) {
-	_, err := d.store.Put(ctx, store.Key(claimPrefix+string(g)), encodeClaim(claim{Holder: d.id}), fence)
+func (d *Daemon) closeClaim(ctx context.Context, g group.ID, c heldClaim) {
+	_, err := d.store.Put(ctx, store.Key(claimPrefix+string(g)), encodeClaim(claim{Holder: d.id, Unsettled: c.unsettled}), c.fence)
 	if err != nil {
 		d.warn("closing primary change claim failed", err)
 	}
@@ -139,7 +164,7 @@
 func encodeClaim(c claim) []byte {
 	b, err := json.Marshal(c)
 	if err != nil {
-		panic("encode claim: " + err.Error()) // a struct of a string and a bool always encodes
+		panic("encode claim: " + err.Error()) // a struct of strings and bools always encodes
 	}
 	return b
 }
@@ -162,14 +187,10 @@
 		members[i].Received = result.report.Received
 		newest = max(newest, result.report.Received.Term)
 	}
-	sync := d.syncReplicas(g.id)
-	if action == promotion.Replace && sync > 0 {
-		// While the replicas are paused, no commit can be acknowledged that they have not reported.
-		d.pauseReplicas(ctx, g, members, newest+1)
-		defer d.resumeReplicas(ctx, g, members)
-	}
-	if !promotion.HasCommitQuorum(members, sync) {
-		return nil, fmt.Errorf("%w: too few replicas reported their position", errNoSuccessor)
+	if action == promotion.Replace {
+		if err := d.secureCommits(ctx, g, members, newest+1); err != nil {
+			return nil, err
+		}
 	}
 	best := promotion.BestCandidate(members, newest)
 	d.log.Info("successor selection ended", zap.String("group", string(g.id)), zap.Stringer("action", action), zap.Int("chosen", best),
@@ -183,6 +204,25 @@
 	return g.targets[best], nil
 }
 
+// secureCommits makes sure that the replicas that answer hold all acknowledged commits, now and until the change has ended: it pauses
+// them, so that no commit can be acknowledged that they have not reported. After a hand-over this is not needed, as the primary itself
+// shows what it holds.
+func (d *Daemon) secureCommits(ctx context.Context, g *groupView, members []promotion.Member, term position.Term) error {
+	synchronous := d.syncReplicas(g.id)
+	if synchronous == 0 {
+		return nil
+	}
+	holders, _, err := d.readHolders(ctx, g.id)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errNoSuccessor, err)
+	}
+	d.pauseReplicas(ctx, g, members, term)
+	if !promotion.HasCommitQuorum(members, holders, synchronous) {
+		return fmt.Errorf("%w: too few of the targets %v reported their position", errNoSuccessor, holders)
+	}
+	return nil
+}
+
 func (d *Daemon) syncReplicas(g group.ID) int {
 	if cfg := d.view.Load().config; cfg != nil {
 		return cfg.Groups[g].SyncReplicas
@@ -206,14 +246,12 @@
 	}
 }
 
-// resumeReplicas lets the replicas receive again, whatever the outcome of the change.
-func (d *Daemon) resumeReplicas(ctx context.Context, g *groupView, members []promotion.Member) {
-	for i, t := range g.targets {
-		if members[i].Leader || members[i].Draining {
-			continue
-		}
+// resumeReplicas lets all replicas of a group receive again.
+func (d *Daemon) resumeReplicas(ctx context.Context, g *groupView) {
+	for _, t := range g.targets {
+		id := t.meta.Load().ID
 		if _, err := d.runCommand(ctx, t, link.Command{Kind: link.Resume}); err != nil {
-			d.warnTarget("resuming replica failed", g.id, members[i].ID, err)
+			d.warnTarget("resuming replica failed", g.id, id, err)
 		}
 	}
 }
--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -355,7 +355,7 @@
 		}
 		g.probing = true
 		go func() {
-			c.d.verifyPrimary(ctx, g.id, m.target)
+			_, _ = c.d.verifyPrimary(ctx, g.id, m.target) // it records a failure itself
 			c.send(ctx, probeEnd{group: g.id})
 		}()
 	}
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -233,6 +233,7 @@
 	go d.reloadOnSignal(inner, d.file)
 	go d.followConfig(inner)
 	go d.followTargets(inner)
+	go d.keepHolders(inner)
 	go d.serveHTTP(inner, health, http.HandlerFunc(d.health))
 	if d.set.Daemon.MetricsAddress != "" {
 		go d.serveMetrics(inner)
--- /dev/null
+++ b/internal/process/edge/quorum.go
@@ -0,0 +1,250 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusfork/cactusfork/internal/connection/link"
+	store "github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/promotion"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/position"
+)
+
+const (
+	// holdersPrefix is the key prefix of the records of the targets that may hold acknowledged commits, one for each group whose commits
+	// are synchronous.
+	holdersPrefix = "cactusfork-holders/"
+	// minHoldersInterval and maxHoldersInterval bound the time between two checks of a group by this daemon.
+	minHoldersInterval = clock.Second
+	maxHoldersInterval = 2 * clock.Second
+	// holdersIntervalPerDaemon is the part of that time for each daemon that checks the same group, in milliseconds.
+	holdersIntervalPerDaemon clock.Millis = 300
+	// goneTime is how long a recorded target must be unknown to this daemon before it counts as gone.
+	goneTime = 3 * clock.Second
+	// settleInterval is the minimum time between two attempts of this daemon to let the stalled replicas of a group receive again.
+	settleInterval = claimTTL
+)
+
+// holdersRecord is the stored record of a group's holders.
+type holdersRecord struct {
+	Holders []promotion.Holder `json:"holders"`
+}
+
+var errNoHolders = errors.New("targets that may hold acknowledged commits are not recorded")
+
+// holderKeeper keeps the records of the groups whose commits are synchronous. One goroutine uses it.
+type holderKeeper struct {
+	d      *Daemon
+	groups map[group.ID]*keptGroup
+}
+
+// keptGroup is what the keeper knows of one group.
+type keptGroup struct {
+	// nextAt is when the group is checked next.
+	nextAt clock.Millis
+	// holders and version are the record as last read or written; holders is nil before.
+	holders []promotion.Holder
+	version store.Version
+	// absentSince is when a recorded holder was first found to be unknown.
+	absentSince map[promotion.Holder]clock.Millis
+	// received holds what the replicas held at the last check, and primary what the primary held then.
+	received map[group.TargetID]position.Point
+	primary  position.Point
+	// settleAt is the earliest time of the next attempt to end a stall.
+	settleAt clock.Millis
+}
+
+// keepHolders checks the groups whose commits are synchronous until ctx ends.
+func (d *Daemon) keepHolders(ctx context.Context) {
+	k := &holderKeeper{d: d, groups: make(map[group.ID]*keptGroup)}
+	for d.clk.Sleep(ctx, tickInterval) == nil {
+		v := d.view.Load()
+		if v.config == nil || !d.storeUp.Load() {
+			continue
+		}
+		for id, g := range v.groups {
+			if n := v.config.Groups[id].SyncReplicas; n > 0 && d.servesGroup(id, "") {
+				k.check(ctx, g, n)
+			}
+		}
+	}
+}
+
+// check brings the record of a group up to date, if it is time to, and ends a stall of its replicas.
+func (k *holderKeeper) check(ctx context.Context, g *groupView, synchronous int) {
+	now := k.d.clk.Now()
+	kept := k.groups[g.id]
+	if kept == nil {
+		kept = &keptGroup{absentSince: make(map[promotion.Holder]clock.Millis)}
+		k.groups[g.id] = kept
+	}
+	primary := g.target(g.primary)
+	if now < kept.nextAt || primary == nil {
+		return
+	}
+	interval := min(max(holdersIntervalPerDaemon*clock.Millis(len(*k.d.peers.list.Load())), minHoldersInterval), maxHoldersInterval)
+	kept.nextAt = now + interval/2 + clock.Millis(rand.Int64N(int64(interval)))
+	if kept.holders == nil {
+		if err := k.load(ctx, g.id, kept); err != nil {
+			k.d.warn("reading commit holders failed", err)
+			return
+		}
+	}
+	kept.noteAbsent(g, now)
+	point, err := k.d.verifyPrimary(ctx, g.id, primary)
+	if err != nil {
+		return // verifyPrimary has recorded the failure
+	}
+	present := k.d.holdings(ctx, g)
+	k.update(ctx, g.id, kept, present, point, synchronous)
+	k.endStall(ctx, g, kept, present, point)
+}
+
+// load reads the record of a group, or leaves the holders nil if there is none.
+func (k *holderKeeper) load(ctx context.Context, g group.ID, kept *keptGroup) error {
+	holders, version, err := k.d.readHolders(ctx, g)
+	if errors.Is(err, errNoHolders) {
+		kept.version = version
+		return nil
+	}
+	kept.holders, kept.version = holders, version
+	return err
+}
+
+// readHolders returns the recorded holders of a group; errNoHolders if there is no record, or a malformed one of the returned version.
+func (d *Daemon) readHolders(ctx context.Context, g group.ID) ([]promotion.Holder, store.Version, error) {
+	o, err := d.store.Get(ctx, store.Key(holdersPrefix+string(g)))
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, 0, errNoHolders
+	}
+	if err != nil {
+		return nil, 0, fmt.Errorf("read commit holders: %w", err)
+	}
+	var r holdersRecord
+	if err := json.Unmarshal(o.Value, &r); err != nil || len(r.Holders) == 0 {
+		d.log.Warn("stored commit holders are malformed", zap.String("group", string(g)), zap.Error(err))
+		return nil, o.Version, errNoHolders
+	}
+	return r.Holders, o.Version, nil
+}
+
+// noteAbsent records since when the recorded holders have been unknown.
+func (kept *keptGroup) noteAbsent(g *groupView, now clock.Millis) {
+	for _, h := range kept.holders {
+		if g.hasHolder(h) {
+			delete(kept.absentSince, h)
+		} else if _, ok := kept.absentSince[h]; !ok {
+			kept.absentSince[h] = now
+		}
+	}
+}
+
+// hasHolder reports whether the holder is a known target of the group.
+func (g *groupView) hasHolder(h promotion.Holder) bool {
+	return slices.ContainsFunc(g.targets, func(t *target) bool { return t.holder().Matches(h) })
+}
+
+func (t *target) holder() promotion.Holder {
+	m := t.meta.Load()
+	return promotion.Holder{ID: m.ID, StartedAt: m.StartedAt}
+}
+
+// holdings asks all replicas of a group for what they hold.
+func (d *Daemon) holdings(ctx context.Context, g *groupView) []promotion.Holding {
+	list := make([]promotion.Holding, len(g.targets))
+	var wg sync.WaitGroup
+	for i, t := range g.targets {
+		list[i] = promotion.Holding{Holder: t.holder(), Primary: t.meta.Load().ID == g.primary}
+		if list[i].Primary {
+			continue
+		}
+		wg.Go(func() {
+			if r, err := d.runCommand(ctx, t, link.Command{Kind: link.Status}); err == nil {
+				list[i].Received = r.Received
+			}
+		})
+	}
+	wg.Wait()
+	return list
+}
+
+// update writes the record if the holders have changed.
+func (k *holderKeeper) update(ctx context.Context, g group.ID, kept *keptGroup, present []promotion.Holding, primary position.Point, synchronous int) {
+	now := k.d.clk.Now()
+	gone := func(h promotion.Holder) bool {
+		since, ok := kept.absentSince[h]
+		return ok && now-since >= goneTime
+	}
+	holders, ok := promotion.UpdateHolders(kept.holders, present, gone, primary, synchronous)
+	if !ok || slices.Equal(holders, kept.holders) {
+		return
+	}
+	value, err := json.Marshal(holdersRecord{Holders: holders})
+	if err != nil {
+		k.d.warn("encoding commit holders failed", err)
+		return
+	}
+	version, err := k.d.store.Put(ctx, store.Key(holdersPrefix+string(g)), value, kept.version)
+	k.d.log.Info("commit holders changed", zap.String("group", string(g)), zap.Any("holders", holders), zap.Any("before", kept.holders),
+		zap.Stringer("primary-point", primary), zap.Stringer("version", version), zap.Error(err))
+	if err != nil {
+		// Another daemon may have written it; the next check reads it again.
+		kept.holders, kept.version = nil, 0
+		return
+	}
+	kept.holders, kept.version = holders, version
+}
+
+// endStall lets the replicas receive again if one has received nothing since the last check although the primary was ahead then. A
+// daemon that stopped in a change of primary may have left them paused.
+func (k *holderKeeper) endStall(ctx context.Context, g *groupView, kept *keptGroup, present []promotion.Holding, primary position.Point) {
+	stalled := false
+	received := make(map[group.TargetID]position.Point)
+	for _, p := range present {
+		if p.Primary || p.Received == (position.Point{}) {
+			continue
+		}
+		received[p.ID] = p.Received
+		stalled = stalled || kept.received[p.ID] == p.Received && p.Received.Before(kept.primary)
+	}
+	kept.received, kept.primary = received, primary
+	now := k.d.clk.Now()
+	if !stalled || now < kept.settleAt {
+		return
+	}
+	kept.settleAt = now + settleInterval
+	err := k.d.settleReplicas(ctx, g)
+	k.d.log.Info("stalled replicas resumed", zap.String("group", string(g.id)), zap.Any("targets", present), zap.Stringer("primary-point", primary), zap.Error(err))
+}
+
+// settleReplicas lets all replicas of a group receive again, under a claim, so that no change of primary runs meanwhile.
+func (d *Daemon) settleReplicas(ctx context.Context, g *groupView) error {
+	c, err := d.takeClaim(ctx, g.id)
+	if err != nil {
+		return err
+	}
+	primary := g.target(g.primary)
+	if _, err := d.provePrimary(ctx, g.id, primary); err != nil {
+		d.closeClaim(ctx, g.id, c)
+		return err
+	}
+	if c.unsettled {
+		// A promotion whose response was lost may still be executed. This one changes nothing and has the platform refuse the earlier one.
+		if err := d.promote(ctx, g.id, g.primary, c.fence); err != nil {
+			return fmt.Errorf("settle: %w", err) // the claim stays open, and so unsettled
+		}
+	}
+	d.resumeReplicas(ctx, g)
+	c.unsettled = false
+	d.closeClaim(ctx, g.id, c)
+	return nil
+}
--- /dev/null
+++ b/internal/process/edge/quorum_test.go
@@ -0,0 +1,209 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cactusfork/cactusfork/internal/connection/link"
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/platform/standin"
+)
+
+// newSynchronousEnv is an environment whose commits are acknowledged once one replica has received them.
+func newSynchronousEnv(t *testing.T) *testEnv {
+	env := newTestEnv(t)
+	env.group.SyncReplicas = 1
+	c := testConfig(4, false)
+	c["Services"].([]any)[0].(map[string]any)["SyncReplicas"] = 1
+	env.store.Set("config", "main", c)
+	return env
+}
+
+// awaitHolders waits until a daemon knows the record of the group's holders.
+func (e *testEnv) awaitHolders(d *daemon, want string) {
+	e.t.Helper()
+	e.eventually("holders are "+want, func() bool {
+		holders, _, err := d.readHolders(e.t.Context(), "g")
+		if err != nil {
+			return false
+		}
+		var ids []string
+		for _, h := range holders {
+			ids = append(ids, string(h.ID))
+		}
+		return strings.Join(ids, " ") == want
+	})
+}
+
+// goDark makes a target answer and receive nothing.
+func goDark(t *standin.Target, dark bool) {
+	t.SetSilent(dark)
+	t.SetReplicationPaused(dark)
+}
+
+// writeInBackground writes through a daemon until the test ends, so that the daemon notices a primary that does not answer.
+func (d *daemon) writeInBackground() {
+	go func() {
+		for n := 0; d.t.Context().Err() == nil; n++ {
+			session, _ := standin.Connect(d.t.Context(), d.set.Daemon.CallerAddress, "entries", 200*time.Millisecond)
+			if session != nil {
+				session.Query(fmt.Sprintf("WRITE background %d", n))
+				session.Close()
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+}
+
+// writeUntilAcknowledged repeats a write of the data, each time on a new session, until it is acknowledged.
+func (e *testEnv) writeUntilAcknowledged(d *daemon, data string) {
+	e.t.Helper()
+	e.eventually("write is acknowledged", func() bool {
+		return standin.Completed(d.connect("entries").query("WRITE " + data))
+	})
+}
+
+// Guards against a promotion of a replica that lacks acknowledged commits, after the entry of the only one that holds them has expired.
+func TestReplicaWithoutEntryCountsForTheQuorum(t *testing.T) {
+	env := newSynchronousEnv(t)
+	d := env.start("front-1")
+	env.awaitHolders(d, "g-0 g-1 g-2")
+	c := d.connect("entries")
+	if got := c.query("WRITE a 1"); !standin.Completed(got) {
+		t.Fatalf("got %q, want a success", got)
+	}
+	primary, deaf, lost := env.group.Targets[0], env.group.Targets[1], env.group.Targets[2]
+	deaf.SetReplicationPaused(true)
+	if got := c.query("WRITE a 2"); !standin.Completed(got) {
+		t.Fatalf("got %q with one replica that receives, want a success", got)
+	}
+	d.writeInBackground()
+	goDark(lost, true)
+	env.store.Delete("servers", "g-2")
+	goDark(primary, true)
+	env.eventually("the target is removed", func() bool { return d.view.Load().findTarget("g", "g-2") == nil })
+	second := env.start("front-2")
+	second.writeInBackground()
+	if second.view.Load().findTarget("g", "g-2") != nil {
+		t.Fatal("got the lost target known to a new daemon, want it unknown")
+	}
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if env.group.Primary() != primary {
+			t.Fatalf("got %s promoted with %q, want none, as it lacks an acknowledged commit", env.group.Primary().ID, env.group.Primary().Log())
+		}
+	}
+	// The primary returns, and shows that the other replica holds all commits.
+	goDark(primary, false)
+	deaf.SetReplicationPaused(false)
+	env.writeUntilAcknowledged(d, "a 3")
+	env.awaitHolders(d, "g-0 g-1")
+	// From now on the lost replica is not needed.
+	goDark(primary, true)
+	env.eventually("the other replica is promoted", func() bool { return env.group.Primary() == deaf })
+	if got, want := deaf.Log(), "a 2"; !slices.Contains(got, want) {
+		t.Errorf("got log %q, want %q in it", got, want)
+	}
+}
+
+// Guards against a promotion in a group of which no daemon has seen which targets may hold acknowledged commits.
+func TestNoPromotionWithoutKnownHolders(t *testing.T) {
+	env := newSynchronousEnv(t)
+	goDark(env.group.Targets[0], true)
+	for _, record := range []string{"", `{"holders":`, `{"holders":[{"id":"g-0","started-at":1e99}]}`, `{"holders":[]}`} {
+		if record != "" {
+			env.store.Set("cactusfork-holders", "g", record)
+		}
+		d := env.start("front-1")
+		d.writeInBackground()
+		time.Sleep(1500 * time.Millisecond)
+		if got := env.group.Primary(); got != env.group.Targets[0] {
+			t.Errorf("record %.20q: got %s promoted, want none", record, got.ID)
+		}
+		d.stop()
+		<-d.done
+		d.done <- nil
+	}
+	goDark(env.group.Targets[0], false)
+	d := env.start("front-2")
+	env.writeUntilAcknowledged(d, "a 1")
+	env.awaitHolders(d, "g-0 g-1 g-2")
+}
+
+// Guards against a commit that is acknowledged between the choice of a successor, which lacks it, and the promotion.
+func TestNothingIsAcknowledgedDuringAPromotion(t *testing.T) {
+	env := newSynchronousEnv(t)
+	d := env.start("front-1")
+	env.awaitHolders(d, "g-0 g-1 g-2")
+	primary := env.group.Targets[0]
+	var requested atomic.Bool
+	promoted := env.store.Promote
+	acknowledged := make(chan bool, 1)
+	env.store.Promote = func(service, id string) int {
+		if requested.Swap(true) {
+			return promoted(service, id)
+		}
+		// The primary is back before the promotion takes effect, and so is the replica that was not chosen.
+		goDark(primary, false)
+		for _, r := range env.group.Targets[1:] {
+			r.SetReplicationPaused(r.ID == id)
+		}
+		session, _ := standin.Connect(t.Context(), d.set.Daemon.CallerAddress, "entries", 700*time.Millisecond)
+		if session != nil {
+			acknowledged <- standin.Completed(session.Query("WRITE a 9"))
+			session.Close()
+		}
+		status := promoted(service, id)
+		for _, r := range env.group.Targets {
+			r.SetReplicationPaused(false)
+		}
+		return status
+	}
+	d.writeInBackground()
+	goDark(primary, true)
+	var got bool
+	select {
+	case got = <-acknowledged:
+	case <-time.After(testTimeout):
+		t.Fatal("got no promotion requested, want one")
+	}
+	env.eventually("a replica is promoted", func() bool { return env.group.Primary() != primary })
+	if log := env.group.Primary().Log(); got && !slices.Contains(log, "a 9") {
+		t.Errorf("got log %q, want the acknowledged \"a 9\" in it", log)
+	}
+	env.writeUntilAcknowledged(d, "a 10")
+}
+
+// Guards against replicas that receive nothing for good, because the daemon that paused them has stopped or its promotion got no answer.
+func TestPausedReplicasAreResumed(t *testing.T) {
+	env := newSynchronousEnv(t)
+	d := env.start("front-1")
+	env.awaitHolders(d, "g-0 g-1 g-2")
+	fences := make(chan string, 16)
+	env.store.SetFault(func(r *http.Request) standin.Fault {
+		if r.URL.Path == "/promotion" {
+			fences <- r.Header.Get("X-Cactusfork-Fencing-Token")
+		}
+		return standin.Fault{}
+	})
+	// Another daemon has paused the replicas, asked for a promotion and stopped.
+	env.store.Set("cactusfork-claims", "g", `{"holder":"front-9","open":true}`)
+	for _, id := range []group.TargetID{"g-1", "g-2"} {
+		if _, err := d.runCommand(t.Context(), d.view.Load().findTarget("g", id), link.Command{Kind: link.Pause, Term: 2}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	session, _ := standin.Connect(t.Context(), d.set.Daemon.CallerAddress, "entries", testTimeout)
+	go session.Query("WRITE a 1") // is not acknowledged
+	env.writeUntilAcknowledged(d, "a 2")
+	if len(fences) == 0 {
+		t.Error("got no promotion of the present primary, want one that has the platform refuse the earlier one")
+	}
+	if got := env.group.Primary(); got != env.group.Targets[0] {
+		t.Errorf("got %s as the primary, want g-0", got.ID)
+	}
+}
--- a/internal/process/edge/samples.go
+++ b/internal/process/edge/samples.go
@@ -128,40 +128,40 @@
 		_ = d.clk.Sleep(ctx, sampleRetryPause) // the waiting sessions see the end of ctx
 		return
 	}
-	if !d.verifyPrimary(ctx, g, t) {
+	if _, err := d.verifyPrimary(ctx, g, t); err != nil {
 		_ = d.clk.Sleep(ctx, sampleRetryPause) // the waiting sessions see the end of ctx
 	}
 }
 
-// verifyPrimary reports whether a target proves that it is the primary, and records a failure to answer.
-func (d *Daemon) verifyPrimary(ctx context.Context, g group.ID, t *target) bool {
+// verifyPrimary has a target prove that it is the primary and returns its position. It records a failure to answer.
+func (d *Daemon) verifyPrimary(ctx context.Context, g group.ID, t *target) (position.Point, error) {
 	sentAt := d.clk.Now()
-	err := d.provePrimary(ctx, g, t)
+	p, err := d.provePrimary(ctx, g, t)
 	if err != nil && !errors.Is(err, errNotPrimary) {
 		d.handleFailure(g, t.meta.Load().ID, sentAt, err)
 	}
-	return err == nil
+	return p, err
 }
 
 var errNotPrimary = errors.New("target is not the primary")
 
-// provePrimary asks a target to begin and end a transaction, which only the primary accepts.
-func (d *Daemon) provePrimary(ctx context.Context, g group.ID, t *target) error {
+// provePrimary asks a target to begin and end a transaction, which only the primary accepts. It returns the position of the primary.
+func (d *Daemon) provePrimary(ctx context.Context, g group.ID, t *target) (position.Point, error) {
 	deadline := d.clk.Now() + probeTimeout
 	conn, err := t.pool.GetOrOpen(ctx, deadline)
 	if err != nil {
-		return err
+		return position.Point{}, err
 	}
 	defer t.pool.Put(conn)
 	sentAt := d.clk.Now()
 	r, err := conn.ProvePrimary(deadline)
 	if err != nil {
-		return err
+		return position.Point{}, err
 	}
 	d.handleReply(g, t.meta.Load().ID, &r, 0)
 	if !r.Completed {
-		return errNotPrimary
+		return position.Point{}, errNotPrimary
 	}
 	d.handlePrimaryProof(g, t.meta.Load().ID, placement.Sample{Point: r.Point, RequestedAt: sentAt})
-	return nil
+	return r.Point, nil
 }
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -97,7 +97,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return promotion.Member{
-		ID: m.ID, Draining: m.Draining, Leader: primary, Answered: t.repliedAt, FailingSince: t.failingSince,
+		ID: m.ID, StartedAt: m.StartedAt, Draining: m.Draining, Leader: primary, Answered: t.repliedAt, FailingSince: t.failingSince,
 		Refusing: t.refusing, Receipt: t.receipt,
 	}
 }
--- a/internal/version/promotion/decide.go
+++ b/internal/version/promotion/decide.go
@@ -26,8 +26,10 @@
 
 // Member is this daemon's view of one target of a group.
 type Member struct {
-	ID       group.TargetID
-	Draining bool
+	ID group.TargetID
+	// StartedAt is when the target started, as in Holder.
+	StartedAt int64
+	Draining  bool
 	// Leader is true for the target that this daemon takes to be the primary.
 	Leader bool
 	// Answered is the time of the target's last reply; 0 if it has never answered.
@@ -130,25 +132,6 @@
 	return false
 }
 
-// HasCommitQuorum reports whether the replicas that answer are certain to include one that holds every acknowledged commit.
-// synchronous is how many replicas must have received a commit before it is acknowledged.
-func HasCommitQuorum(members []Member, synchronous int) bool {
-	if synchronous == 0 {
-		return true
-	}
-	replicas, replying := 0, 0
-	for i := range members {
-		if members[i].Leader {
-			continue
-		}
-		replicas++
-		if !members[i].Draining && members[i].FailingSince == 0 {
-			replying++
-		}
-	}
-	return replying > replicas-synchronous
-}
-
 // BestCandidate returns the index of the target to promote, which is the one with the highest received point, or -1 if there is none.
 // Received must be up to date in every member.
 //
--- a/internal/version/promotion/decide_test.go
+++ b/internal/version/promotion/decide_test.go
@@ -74,7 +74,7 @@
 		{"all synchronous, one reply is enough", []Member{p, a, drainingB}, 2, true},
 	}
 	for _, tt := range tests {
-		if got := HasCommitQuorum(tt.members, tt.synchronous); got != tt.want {
+		if got := HasCommitQuorum(tt.members, nil, tt.synchronous); got != tt.want {
 			t.Errorf("%s: got %t, want %t", tt.name, got, tt.want)
 		}
 	}
