relay: answer every statement before the process stops

Cause: a draining daemon ends sessions outside transactions only. Statements of open transactions began with their whole time-out until the exit, which waited for nobody.

Change: from SIGTERM on sessions know by when statements are answered, 700 ms before the end of the grace period, and no deadline goes beyond that. In the second half of the grace period a statement of an open transaction begins only if its whole time-out fits; else the transaction is rolled back with ABORTED, also at the daemon that serves it. The exit comes 300 ms behind the answers.

Why it works: no statement that begins after the SIGTERM can be at work at the exit.

--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -249,3 +249,43 @@
 		t.Errorf("got %d token statements at targets, want 0", got)
 	}
 }
+
+// TestDrainAnswersStatementsAtWork guards against a stop that cuts off a statement while a target works on it.
+func TestDrainAnswersStatementsAtWork(t *testing.T) {
+	tests := []struct {
+		name   string
+		before []string
+		sql    string
+		code   string
+	}{
+		{"write", nil, writeSQL, "08007"},
+		{"statement of a transaction", []string{"begin", "insert first"}, writeSQL, "08006"},
+		{"commit", []string{"begin", "insert first"}, "commit", "08007"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := clock.NewManual(1)
+			h := newHarness(t, withClock(m), func(c *Config, _ *Dependencies) { c.TransactionIdleTimeout = 1 << 40 })
+			c := h.dial(pgx.QueryExecModeExec)
+			for _, sql := range tt.before {
+				if _, err := c.Exec(context.Background(), sql); err != nil {
+					t.Fatal(err)
+				}
+			}
+			h.injectFault(tt.sql, noReply)
+			got := make(chan string, 1)
+			go func() {
+				_, err := c.Exec(context.Background(), tt.sql)
+				got <- codeOf(err)
+			}()
+			for h.primary.runCount(tt.sql) == 0 {
+				runtime.Gosched()
+			}
+			h.cancel()
+			advanceUntil(m, func() bool { return len(got) == 1 })
+			if got := <-got; got != tt.code {
+				t.Errorf("got %q, want %q", got, tt.code)
+			}
+		})
+	}
+}
--- a/internal/connection/relay/forward.go
+++ b/internal/connection/relay/forward.go
@@ -37,7 +37,7 @@
 		e.writes = p.Writes
 	}
 	e.req.Group = r.Group
-	e.deadline = e.asOf + r.Timeout + homeReplyMargin
+	e.deadline = s.server.answerBy(e.asOf + r.Timeout + homeReplyMargin)
 	e.outcome = Outcome{
 		Session: s.id, ID: st.ID, Database: s.database, Route: r, Verb: st.Verb, Writes: e.writes,
 		Arrived: e.asOf, Attempts: 1, Home: s.home.ID,
@@ -60,7 +60,7 @@
 // relayReply passes the reply of the home daemon to the caller and applies the transaction state that it reports.
 func (e *execution) relayReply(r *link.Reply) {
 	s := e.s
-	if e.needsTarget() {
+	if needsTarget(e.st.Verb) {
 		s.deps().HomeReplied(e.req.Group, e.asOf, r.Code.NotRun())
 	}
 	if r.Completed {
@@ -90,17 +90,6 @@
 	e.report()
 }
 
-// needsTarget reports whether the home daemon has to ask a target for the reply, so that the reply shows the state of the
-// group.
-func (e *execution) needsTarget() bool {
-	switch e.st.Verb {
-	case statement.Read, statement.Write, statement.Execute, statement.Commit:
-		return true
-	default:
-		return false
-	}
-}
-
 // commits reports whether the statement commits writes: it is a COMMIT, or a write outside a transaction.
 func (e *execution) commits() bool {
 	return e.st.Verb == statement.Commit || e.writes && e.s.tx == nil
--- a/internal/connection/relay/forward_test.go
+++ b/internal/connection/relay/forward_test.go
@@ -176,3 +176,49 @@
 		})
 	}
 }
+
+// Guards against a statement that begins at the home daemon although this daemon stops before its reply can arrive.
+func TestLateStatementsAreRefused(t *testing.T) {
+	tests := []struct {
+		name      string
+		forwarded bool
+		before    []exchange
+		late      []exchange
+	}{
+		{"transaction at the home daemon", true, []exchange{{"BEGIN", "complete, T"}, {"WRITE a 1", "body by p, T"}}, []exchange{{"READ a", "rejected, E"}, {"ROLLBACK", "complete, I"}}},
+		{"commit at the home daemon", true, []exchange{{"BEGIN", "complete, T"}, {"WRITE a 1", "body by p, T"}}, []exchange{{"COMMIT", "rejected, I"}}},
+		{"transaction", false, []exchange{{"BEGIN", "complete, T"}, {"WRITE a 1", "body by p, T"}}, []exchange{{"WRITE a 2", "rejected, E"}, {"COMMIT", "rejected, I"}}},
+		{"transaction without a statement", false, []exchange{{"BEGIN", "complete, T"}}, []exchange{{"READ a", "rejected, E"}, {"ROLLBACK", "complete, I"}}},
+		{"rollback", false, []exchange{{"BEGIN", "complete, T"}, {"WRITE a 1", "body by p, T"}}, []exchange{{"ROLLBACK", "complete, I"}}},
+		{"statement outside a transaction", false, nil, []exchange{{"READ a", "body by p, I"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newTestBed(t, topology.Strong)
+			b.targets = b.targets[:1]
+			homeClosed := false
+			if tt.forwarded {
+				attachHome(b)
+				b.session.home.Wire.Close = func() error { homeClosed = true; return nil }
+			}
+			for _, x := range tt.before {
+				if got := b.exec(x.text); got != x.want {
+					t.Errorf("%s: got %q, want %q", x.text, got, x.want)
+				}
+			}
+			now := b.session.now()
+			b.session.server.SetStop(Stop{TransactionsUntil: now, AnswerBy: now + b.route.Timeout - 1})
+			for _, x := range tt.late {
+				if got := b.exec(x.text); got != x.want {
+					t.Errorf("%s: got %q, want %q", x.text, got, x.want)
+				}
+			}
+			if homeClosed != tt.forwarded {
+				t.Errorf("got connection to the home closed %t, want %t", homeClosed, tt.forwarded)
+			}
+			if got := b.targets[0].commits; got != 0 {
+				t.Errorf("got %d commits, want 0", got)
+			}
+		})
+	}
+}
--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -73,7 +73,7 @@
 		}
 		e.prepared, e.writes = p, p.Writes
 	}
-	e.deadline = e.asOf + r.Timeout
+	e.deadline = s.server.answerBy(e.asOf + r.Timeout)
 	e.outcome = Outcome{
 		Session: s.id, ID: st.ID, Database: s.database, Route: r, Verb: st.Verb, Writes: e.writes, Arrived: e.asOf,
 	}
--- a/internal/connection/relay/server.go
+++ b/internal/connection/relay/server.go
@@ -31,6 +31,8 @@
 	peerProtocol func(net.Conn) Wire
 	// hedges is the budget for reads that are tried on another target while their first attempt is still running.
 	hedges *retry.Budget
+	// stop holds the times of the stop; nil until the daemon is told to stop.
+	stop atomic.Pointer[Stop]
 	// isolated is true while this daemon is cut off from the primaries, so that another daemon can serve callers better.
 	isolated atomic.Bool
 
@@ -124,6 +126,33 @@
 // soon as it is idle outside a transaction.
 func (s *Server) SetIsolated(isolated bool) { s.isolated.Store(isolated) }
 
+// Stop holds the times by which sessions end their work before the process stops.
+type Stop struct {
+	// TransactionsUntil is the time until which open transactions may run any statement. Later, they may run those whose whole time-out
+	// ends before AnswerBy.
+	TransactionsUntil clock.Millis
+	// AnswerBy is the time by which every statement has its answer.
+	AnswerBy clock.Millis
+}
+
+// SetStop tells the sessions when the process stops. They go on until Drain ends them.
+func (s *Server) SetStop(stop Stop) { s.stop.Store(&stop) }
+
+// answerBy returns the time by which a statement has its answer that would otherwise have it by deadline.
+func (s *Server) answerBy(deadline clock.Millis) clock.Millis {
+	if stop := s.stop.Load(); stop != nil {
+		return min(deadline, stop.AnswerBy)
+	}
+	return deadline
+}
+
+// stopsBefore reports whether the process stops too early for a statement of an open transaction with that time-out.
+func (s *Server) stopsBefore(timeout clock.Millis) bool {
+	stop := s.stop.Load()
+	now := s.deps.Clock.Now()
+	return stop != nil && now >= stop.TransactionsUntil && now+timeout > stop.AnswerBy
+}
+
 // Drain closes every session as soon as it is idle outside a transaction, and waits for all to end or for ctx.
 func (s *Server) Drain(ctx context.Context) error {
 	s.mu.Lock()
--- a/internal/connection/relay/session.go
+++ b/internal/connection/relay/session.go
@@ -132,9 +132,8 @@
 // receive waits for the caller's next statement.
 func (s *session) receive() (statement.Statement, error) {
 	if s.tx != nil {
-		idle := s.deps().TransactionIdle()
 		deadline := clock.Millis(0)
-		if idle > 0 {
+		if idle := s.deps().TransactionIdle(); idle > 0 {
 			deadline = s.now() + idle
 		}
 		return s.wire.Receive(s.deps().Clock.Deadline(deadline))
@@ -263,6 +262,8 @@
 	}
 	s.updateHome(ctx)
 	switch {
+	case s.comesTooLate(st.Verb):
+		s.refuseLate(&st)
 	case s.home != nil && s.forward(ctx, &st):
 	case s.tx != nil && s.tx.failed:
 		s.handleFailed(st)
@@ -275,6 +276,36 @@
 	}
 }
 
+// comesTooLate reports whether a statement of the open transaction must not begin, as the process stops before it could use its time.
+func (s *session) comesTooLate(v statement.Verb) bool {
+	return s.tx != nil && !s.tx.failed && needsTarget(v) && s.server.stopsBefore(s.tx.route.Timeout)
+}
+
+// refuseLate rolls back the open transaction in place of running a statement that comes too late.
+func (s *session) refuseLate(st *statement.Statement) {
+	const cause = "daemon stops, transaction is rolled back"
+	now := s.now()
+	s.deps().Report(&Outcome{
+		Session: s.id, ID: st.ID, Database: s.database, Route: s.tx.route, Verb: st.Verb, Writes: st.Writes,
+		Code: statement.Rejected, Cause: cause, Arrived: now, Finished: now,
+	})
+	s.abortTransaction()
+	if st.Verb == statement.Commit {
+		s.tx = nil
+	}
+	s.fail(statement.Rejected, cause)
+}
+
+// needsTarget reports whether a statement cannot be answered without a target.
+func needsTarget(v statement.Verb) bool {
+	switch v {
+	case statement.Read, statement.Write, statement.Execute, statement.Commit:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *session) handleFailed(st statement.Statement) {
 	switch st.Verb {
 	case statement.Rollback:
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -40,9 +40,11 @@
 	staleConnectionTime = 3 * clock.Second
 	// drainMargin is how long before the end of the drain time a leaving target gets its last work. It leaves time for queued and running statements.
 	drainMargin = 2 * clock.Second
-	// stopMargin is how long before the end of the grace period the daemon stops, in milliseconds.
-	stopMargin clock.Millis = 700
-	mebibyte                = 1 << 20
+	// answerMargin is how long before the end of the grace period every statement has its answer, in milliseconds, and stopMargin how
+	// long before it the daemon stops. Answers are written in between.
+	answerMargin clock.Millis = 700
+	stopMargin   clock.Millis = 400
+	mebibyte                  = 1 << 20
 )
 
 // targetLimits are the time-outs after which a connection to a silent target is closed, in milliseconds.
@@ -92,6 +94,8 @@
 
 	// startedAt is when Run began.
 	startedAt clock.Millis
+	// graceEnd is the end of the grace period, as clock.Millis; 0 until the daemon is told to stop.
+	graceEnd atomic.Int64
 
 	// ownMu serialises writes of the daemon's own entry. ownVersion is the version of that entry; 0 when there is none.
 	ownMu      sync.Mutex
@@ -243,7 +247,7 @@
 	d.log.Info("daemon started", zap.String("caller-address", d.set.Daemon.CallerAddress), zap.Any("settings", d.set))
 	serveErr := d.server.Serve(inner, callers)
 	if ctx.Err() != nil {
-		drainCtx, cancel := context.WithTimeout(inner, (d.set.Daemon.Grace - d.set.Daemon.Notice - stopMargin).Duration())
+		drainCtx, cancel := context.WithTimeout(inner, (clock.Millis(d.graceEnd.Load()) - stopMargin - d.clk.Now()).Duration())
 		defer cancel()
 		if err := d.server.Drain(drainCtx); err != nil {
 			d.log.Warn("daemon stopping with open sessions", zap.Error(err))
@@ -286,6 +290,9 @@
 
 // drain fails the health check, and stops accepting callers after the notice period, in which the balancer sees the failure.
 func (d *Daemon) drain(ctx context.Context, callers net.Listener) {
+	now, grace := d.clk.Now(), d.set.Daemon.Grace
+	d.graceEnd.Store(int64(now + grace))
+	d.server.SetStop(relay.Stop{TransactionsUntil: now + grace/2, AnswerBy: now + grace - answerMargin})
 	d.draining.Store(true)
 	d.log.Info("daemon draining", zap.Int("sessions", d.server.Len()))
 	if d.set.Daemon.PeerAddress != "" {
