edge: give each daemon of a test an address of its own

"daemon is ready: timed out after 10s" came once in 90 parallel subtests: a port that was free a moment before had been taken by another test or by a connection. Addresses are now on loopback addresses that nothing else uses. Nothing is checked differently.

--- a/internal/process/edge/harness_test.go
+++ b/internal/process/edge/harness_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,9 +76,14 @@
 	return e
 }
 
+// addresses counts the addresses that freeAddress has returned.
+var addresses atomic.Uint32
+
+// freeAddress returns a port on a loopback address of its own. No other test and no connection can take it before the daemon does.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, n/250%250, 2+n%250))
 	if err != nil {
 		t.Fatal(err)
 	}
