platform: read a list in spite of one odd object in it

Operators reported that one odd entry of another writer ended machines or kept them from following the list. Here no daemon ended, but one object nested 20,000 levels deep kept all daemons from reading its kind: running ones stopped following configuration and targets, starting ones never became ready, and a group with such a claim got no new primary. Entries with numbers too large, port 0 or an address zone became targets, and one with a port out of range a daemon to forward sessions to.

Cause: a response was decoded as a whole, and the decoder gives up beyond 10,000 levels. Numbers and the addresses of daemons were not checked.

A malformed claim counts as unsettled.

--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -119,6 +119,7 @@
 	if err == nil {
 		if err := json.Unmarshal(stored.Value, &current); err != nil {
 			d.warn("stored claim is malformed", err)
+			current = claim{Unsettled: true}
 		}
 	}
 	now := d.clk.Now()
--- a/internal/process/edge/register.go
+++ b/internal/process/edge/register.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 
@@ -15,6 +16,7 @@
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/platform"
 )
 
 const (
@@ -126,6 +128,10 @@
 			d.warn("stored daemon entry is malformed", err)
 			continue
 		}
+		if e.Address != "" && !platform.IsAddress(e.Address) || e.Mirror != "" && !platform.IsAddress(e.Mirror) {
+			d.warn("stored daemon entry is malformed", fmt.Errorf("%s: address %.64q or %.64q cannot be used", o.Key, e.Address, e.Mirror))
+			continue
+		}
 		if !e.Leaving && e.Address != "" {
 			list = append(list, placement.Peer{ID: group.DaemonID(o.Key[len(peerPrefix):]), DataCentre: e.DataCentre, Address: e.Address, MirrorAddress: e.Mirror})
 		}
