relay: survive a target that misses a name it was not sent

A target that answers NOSTMT to a statement other than EXECUTE made the daemon panic, so that all its callers were cut off.

Two rows of TestSessions panic on the old code ("invalid memory address"). The caller now gets NOSTMT; inside a transaction it is rolled back.

--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -341,9 +341,11 @@
 	}
 	switch code {
 	case statement.NoStatement:
-		l.Conn.Forget(e.prepared)
-		e.returnLease(l)
-		return attemptRetry
+		if e.prepared != nil {
+			l.Conn.Forget(e.prepared)
+			return e.returnLease(l)
+		}
+		e.returnLease(l) // the target answers what it was not asked; the caller is told
 	case statement.Busy, statement.Lagging, statement.ReadOnly, statement.WrongTarget, statement.TooManyConnections:
 		e.primaryBusy = e.primaryBusy || l.Primary && code == statement.Busy
 		e.req.Need.Tried = append(e.req.Need.Tried, l.Target)
--- a/internal/connection/relay/session_test.go
+++ b/internal/connection/relay/session_test.go
@@ -106,6 +106,10 @@
 			{"DEALLOC s", "complete, I"},
 			{"EXECUTE s a", "no-statement, I"},
 		}, 0},
+		{"a target that knows no name where none was sent", topology.Strong, refuseOnce(statement.NoStatement, statement.Idle, "WRITE"), []exchange{{"WRITE a 1", "no-statement, I"}, {"WRITE a 2", "body by p, I"}}, 1},
+		{"a target that knows no name where none was sent, inside a transaction", topology.Strong, refuseOnce(statement.NoStatement, statement.Open, "WRITE"), []exchange{
+			{"BEGIN", "complete, T"}, {"WRITE a 1", "rejected, E"}, {"ROLLBACK", "complete, I"},
+		}, 0},
 		{"commit outside a transaction", topology.Strong, nil, []exchange{{"COMMIT", "malformed, I"}}, 0},
 		{"begin inside a transaction", topology.Strong, nil, []exchange{{"BEGIN", "complete, T"}, {"BEGIN", "malformed, E"}}, 0},
 	}
--- a/internal/connection/relay/transaction.go
+++ b/internal/connection/relay/transaction.go
@@ -103,7 +103,7 @@
 	if e.s.now()+retryDelay >= e.deadline {
 		return false
 	}
-	if r.Code == statement.NoStatement {
+	if r.Code == statement.NoStatement && e.prepared != nil {
 		e.s.tx.lease.Conn.Forget(e.prepared)
 		return true
 	}
