soak: run each seed with synchronous commits, too

Each seed now also runs with SyncReplicas 1 and with a series of replicas that receive nothing, often answer nothing, and lose their entries. All seeds still run as before; the checks are the same: every acknowledged write once in the log at the end, writes served, versions in force.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -22,6 +22,8 @@
 	restoreShare = 6
 	// maxSilence bounds how long a primary is silent, in milliseconds.
 	maxSilence = 2500
+	// maxReplicaFault bounds how long a replica receives nothing, in milliseconds. Its entry may be forgotten in that time.
+	maxReplicaFault = 7000
 	// maxFaultGap bounds the time between two faults of a series, in milliseconds.
 	maxFaultGap = 4000
 )
@@ -125,3 +127,24 @@
 	_ = s.clk.Sleep(ctx, clock.Millis(r.IntN(maxSilence))) // the end of ctx only shortens the fault
 	p.SetSilent(false)
 }
+
+// silenceReplica keeps a target that is not the primary from receiving for a while, often also from answering, and may remove its entry.
+func (s *soak) silenceReplica(ctx context.Context, r *rand.Rand) {
+	if s.clk.Sleep(ctx, clock.Millis(r.IntN(maxFaultGap))) != nil {
+		return
+	}
+	t := s.group.Targets[r.IntN(groupTargets)]
+	if t == s.group.Primary() {
+		return
+	}
+	s.replicaFaults.Add(1)
+	t.SetReplicationPaused(true)
+	t.SetSilent(r.IntN(2) == 0)
+	if r.IntN(3) == 0 {
+		s.store.Delete("servers", t.ID)
+	}
+	_ = s.clk.Sleep(ctx, clock.Millis(r.IntN(maxReplicaFault))) // the end of ctx only shortens the fault
+	t.SetReplicationPaused(false)
+	t.SetSilent(false)
+	s.group.WriteEntries()
+}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -73,6 +73,8 @@
 	for v := max(1, o.version-routesKept); v <= o.version; v++ {
 		databases = append(databases, database(v))
 	}
-	o.s.store.Set("config", "main", standin.Config(o.version, groupName, databases...))
+	c := standin.Config(o.version, groupName, databases...)
+	c["Services"] = []any{map[string]any{"Name": groupName, "MaxConns": 60, "SyncReplicas": o.s.cfg.SyncReplicas}}
+	o.s.store.Set("config", "main", c)
 	o.ackedAt = o.s.clk.Now()
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -30,6 +30,8 @@
 	Seed uint64
 	// Daemons is how many daemons run.
 	Daemons int
+	// SyncReplicas is how many replicas must have received a commit before it is acknowledged. With it, replicas fail, too.
+	SyncReplicas int
 	// Length is how long faults occur, in milliseconds.
 	Length clock.Millis
 	// Log gets the lines of all daemons.
@@ -38,7 +40,7 @@
 
 // Report tells what a run did and which rules were broken.
 type Report struct {
-	Versions, Restores, Outages, Restarts, PrimaryFaults int64
+	Versions, Restores, Outages, Restarts, PrimaryFaults, ReplicaFaults int64
 	// Writes is how many writes were acknowledged, and Probes how often a configuration was asked for.
 	Writes, Probes int64
 	// Broken has a line for each broken rule.
@@ -54,8 +56,8 @@
 	fleet  []*daemon
 	config *operator
 
-	versions, restores, outages, restarts, primaryFaults atomic.Int64
-	writes, probes                                       atomic.Int64
+	versions, restores, outages, restarts, primaryFaults, replicaFaults atomic.Int64
+	writes, probes                                                      atomic.Int64
 
 	// storeMu is held while the store is disturbed. storeCalmAt is when the last disturbance ended.
 	storeMu     sync.Mutex
@@ -79,6 +81,7 @@
 		return nil, fmt.Errorf("start targets: %w", err)
 	}
 	defer g.Close()
+	g.SyncReplicas = cfg.SyncReplicas
 	s.group = g
 	for i := range cfg.Daemons {
 		d, err := newDaemon(ctx, s, i)
@@ -100,7 +103,7 @@
 	work.Wait()
 	return &Report{
 		Versions: s.versions.Load(), Restores: s.restores.Load(), Outages: s.outages.Load(), Restarts: s.restarts.Load(),
-		PrimaryFaults: s.primaryFaults.Load(), Writes: s.writes.Load(), Probes: s.probes.Load(), Broken: s.broken,
+		PrimaryFaults: s.primaryFaults.Load(), ReplicaFaults: s.replicaFaults.Load(), Writes: s.writes.Load(), Probes: s.probes.Load(), Broken: s.broken,
 	}, nil
 }
 
@@ -109,6 +112,9 @@
 	_ = s.clk.Sleep(ctx, contactTime) // the daemons start
 	end := s.clk.Now() + s.cfg.Length
 	series := []func(ctx context.Context, r *rand.Rand){s.disturbStore, s.restartDaemon, s.silencePrimary, s.config.change}
+	if s.cfg.SyncReplicas > 0 {
+		series = append(series, s.silenceReplica)
+	}
 	copies := newCopies(s)
 	var work sync.WaitGroup
 	work.Go(func() { copies.collect(ctx) })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,24 +11,27 @@
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
-// TestCallersUnderRepeatedFaults runs the seeds 1 to SOAK_SEEDS, by default 3, with SOAK_DAEMONS daemons, by default 7.
+// TestCallersUnderRepeatedFaults runs the seeds 1 to SOAK_SEEDS, by default 3, with SOAK_DAEMONS daemons, by default 7, each with
+// asynchronous and with synchronous commits.
 func TestCallersUnderRepeatedFaults(t *testing.T) {
 	daemons := number(t, "SOAK_DAEMONS", 7)
 	for seed := range number(t, "SOAK_SEEDS", 3) {
-		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
-			t.Parallel()
-			r, err := Run(t.Context(), Config{Seed: uint64(seed + 1), Daemons: daemons, Length: 25 * clock.Second, Log: zap.NewNop()})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%+v", *r)
-			for _, line := range r.Broken {
-				t.Error(line)
-			}
-			if r.Restores == 0 || r.Restarts == 0 || r.PrimaryFaults == 0 || r.Writes == 0 || r.Probes == 0 {
-				t.Errorf("got %+v, want some of each", *r)
-			}
-		})
+		for synchronous, name := range []string{"asynchronous", "synchronous"} {
+			t.Run(fmt.Sprint("seed ", seed+1, " ", name), func(t *testing.T) {
+				t.Parallel()
+				r, err := Run(t.Context(), Config{Seed: uint64(seed + 1), Daemons: daemons, SyncReplicas: synchronous, Length: 25 * clock.Second, Log: zap.NewNop()})
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Logf("%+v", *r)
+				for _, line := range r.Broken {
+					t.Error(line)
+				}
+				if r.Restores == 0 || r.Restarts == 0 || r.PrimaryFaults == 0 || r.Writes == 0 || r.Probes == 0 || synchronous > 0 && r.ReplicaFaults == 0 {
+					t.Errorf("got %+v, want some of each", *r)
+				}
+			})
+		}
 	}
 }
 
