soak: give each run addresses of its own

Both processes, and the runs of one process, took ports of the same addresses, and a daemon that starts again listens on those it had. The process and the run are now in the address. The checks are unchanged.

--- a/internal/soak/daemon.go
+++ b/internal/soak/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"sync/atomic"
 
 	"go.uber.org/zap"
@@ -38,12 +39,18 @@
 	startedAt atomic.Int64
 }
 
+// runs counts the runs of this process.
+var runs atomic.Uint32
+
+// maxOctet bounds a part of an address.
+const maxOctet = 250
+
 func newDaemon(ctx context.Context, s *soak, n int) (*daemon, error) {
 	id := fmt.Sprint("edge-", n)
 	var addresses [4]string
 	for i := range addresses {
-		// Outgoing connections leave from 127.0.0.1 and so take no port of a daemon that starts again.
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", fmt.Sprintf("127.0.0.%d:0", firstHost+n))
+		// Outgoing connections leave from 127.0.0.1, and other runs have other addresses, so nothing takes a port of a daemon that starts again.
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%maxOctet, s.run%maxOctet, firstHost+n))
 		if err != nil {
 			return nil, fmt.Errorf("find a free port: %w", err)
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -49,7 +49,9 @@
 
 // soak is the state of a run.
 type soak struct {
-	cfg    Config
+	cfg Config
+	// run is the number of the run in its process.
+	run    uint32
 	clk    *clock.Clock
 	store  *standin.Store
 	group  *standin.Group
@@ -72,7 +74,7 @@
 
 // Run carries out one run. Its error means that the run could not take place.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
-	s := &soak{cfg: cfg, clk: clock.System(), store: standin.NewStore(), stopped: make(chan struct{})}
+	s := &soak{cfg: cfg, run: runs.Add(1), clk: clock.System(), store: standin.NewStore(), stopped: make(chan struct{})}
 	defer s.store.Close()
 	s.config = newOperator(s)
 	s.config.publish()
