edge: keep the platform's words out of the quorum tests

Kinds, headers and fields of the platform stand in platform/standin only. Nothing is checked differently.

--- a/internal/process/edge/quorum_test.go
+++ b/internal/process/edge/quorum_test.go
@@ -19,8 +19,8 @@
 	env := newTestEnv(t)
 	env.group.SyncReplicas = 1
 	c := testConfig(4, false)
-	c["Services"].([]any)[0].(map[string]any)["SyncReplicas"] = 1
-	env.store.Set("config", "main", c)
+	standin.SetSyncReplicas(c, 1)
+	env.store.SetConfig(c)
 	return env
 }
 
@@ -40,10 +40,10 @@
 	})
 }
 
-// goDark makes a target answer and receive nothing.
-func goDark(t *standin.Target, dark bool) {
-	t.SetSilent(dark)
-	t.SetReplicationPaused(dark)
+// setUnreachable makes a target answer and receive nothing, or both again.
+func setUnreachable(t *standin.Target, unreachable bool) {
+	t.SetSilent(unreachable)
+	t.SetReplicationPaused(unreachable)
 }
 
 // writeInBackground writes through a daemon until the test ends, so that the daemon notices a primary that does not answer.
@@ -77,15 +77,15 @@
 	if got := c.query("WRITE a 1"); !standin.Completed(got) {
 		t.Fatalf("got %q, want a success", got)
 	}
-	primary, deaf, lost := env.group.Targets[0], env.group.Targets[1], env.group.Targets[2]
-	deaf.SetReplicationPaused(true)
+	primary, lagging, lost := env.group.Targets[0], env.group.Targets[1], env.group.Targets[2]
+	lagging.SetReplicationPaused(true)
 	if got := c.query("WRITE a 2"); !standin.Completed(got) {
 		t.Fatalf("got %q with one replica that receives, want a success", got)
 	}
 	d.writeInBackground()
-	goDark(lost, true)
-	env.store.Delete("servers", "g-2")
-	goDark(primary, true)
+	setUnreachable(lost, true)
+	env.store.DeleteTarget("g-2")
+	setUnreachable(primary, true)
 	env.eventually("the target is removed", func() bool { return d.view.Load().findTarget("g", "g-2") == nil })
 	second := env.start("front-2")
 	second.writeInBackground()
@@ -98,14 +98,14 @@
 		}
 	}
 	// The primary returns, and shows that the other replica holds all commits.
-	goDark(primary, false)
-	deaf.SetReplicationPaused(false)
+	setUnreachable(primary, false)
+	lagging.SetReplicationPaused(false)
 	env.writeUntilAcknowledged(d, "a 3")
 	env.awaitHolders(d, "g-0 g-1")
 	// From now on the lost replica is not needed.
-	goDark(primary, true)
-	env.eventually("the other replica is promoted", func() bool { return env.group.Primary() == deaf })
-	if got, want := deaf.Log(), "a 2"; !slices.Contains(got, want) {
+	setUnreachable(primary, true)
+	env.eventually("the other replica is promoted", func() bool { return env.group.Primary() == lagging })
+	if got, want := lagging.Log(), "a 2"; !slices.Contains(got, want) {
 		t.Errorf("got log %q, want %q in it", got, want)
 	}
 }
@@ -113,7 +113,7 @@
 // Guards against a promotion in a group of which no daemon has seen which targets may hold acknowledged commits.
 func TestNoPromotionWithoutKnownHolders(t *testing.T) {
 	env := newSynchronousEnv(t)
-	goDark(env.group.Targets[0], true)
+	setUnreachable(env.group.Targets[0], true)
 	for _, record := range []string{"", `{"holders":`, `{"holders":[{"id":"g-0","started-at":1e99}]}`, `{"holders":[]}`, strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)} {
 		if record != "" {
 			env.store.Set("cactusfork-holders", "g", record)
@@ -128,7 +128,7 @@
 		<-d.done
 		d.done <- nil
 	}
-	goDark(env.group.Targets[0], false)
+	setUnreachable(env.group.Targets[0], false)
 	d := env.start("front-2")
 	env.writeUntilAcknowledged(d, "a 1")
 	env.awaitHolders(d, "g-0 g-1 g-2")
@@ -148,7 +148,7 @@
 			return promoted(service, id)
 		}
 		// The primary is back before the promotion takes effect, and so is the replica that was not chosen.
-		goDark(primary, false)
+		setUnreachable(primary, false)
 		for _, r := range env.group.Targets[1:] {
 			r.SetReplicationPaused(r.ID == id)
 		}
@@ -164,7 +164,7 @@
 		return status
 	}
 	d.writeInBackground()
-	goDark(primary, true)
+	setUnreachable(primary, true)
 	var got bool
 	select {
 	case got = <-acknowledged:
@@ -189,8 +189,8 @@
 	env.awaitHolders(d, "g-0 g-1 g-2")
 	fences := make(chan string, 16)
 	env.store.SetFault(func(r *http.Request) standin.Fault {
-		if r.URL.Path == "/promotion" {
-			fences <- r.Header.Get("X-Cactusfork-Fencing-Token")
+		if fence := standin.PromotionFence(r); fence != "" {
+			fences <- fence
 		}
 		return standin.Fault{}
 	})
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -141,7 +141,7 @@
 	t.SetReplicationPaused(true)
 	t.SetSilent(r.IntN(2) == 0)
 	if r.IntN(3) == 0 {
-		s.store.Delete("servers", t.ID)
+		s.store.DeleteTarget(t.ID)
 	}
 	_ = s.clk.Sleep(ctx, clock.Millis(r.IntN(maxReplicaFault))) // the end of ctx only shortens the fault
 	t.SetReplicationPaused(false)
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -74,7 +74,7 @@
 		databases = append(databases, database(v))
 	}
 	c := standin.Config(o.version, groupName, databases...)
-	c["Services"] = []any{map[string]any{"Name": groupName, "MaxConns": 60, "SyncReplicas": o.s.cfg.SyncReplicas}}
-	o.s.store.Set("config", "main", c)
+	standin.SetSyncReplicas(c, o.s.cfg.SyncReplicas)
+	o.s.store.SetConfig(c)
 	o.ackedAt = o.s.clk.Now()
 }
