--- a/internal/process/edge/odd_test.go
+++ b/internal/process/edge/malformed_test.go
@@ -11,8 +11,8 @@
 	"github.com/cactusfork/cactusfork/platform/standin"
 )
 
-// oddSpecs are objects of another writer that cannot be used, by what is odd. Each is a valid target entry of group g but for that.
-func oddSpecs() map[string]string {
+// malformedSpecs are objects of another writer that cannot be used, by what is wrong. Each is a valid target entry of group g but for that.
+func malformedSpecs() map[string]string {
 	with := func(field, value string) string {
 		e := standin.Entry("g", "127.0.0.1:9", 1700000000000)
 		delete(e, field)
@@ -43,15 +43,15 @@
 	}
 }
 
-// Guards against an odd object of another writer that ends daemons, or keeps them from reading the others.
-func TestOddObjectsLeaveTheOthersInUse(t *testing.T) {
-	for name, spec := range oddSpecs() {
+// Guards against a malformed object of another writer that ends daemons, or keeps them from reading the others.
+func TestMalformedObjectsDoNotAffectOthers(t *testing.T) {
+	for name, spec := range malformedSpecs() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			env := newTestEnv(t)
 			running := env.start("front-1")
 			for _, kind := range []string{"servers", "cactusfork-daemons", "cactusfork-claims", "cactusfork-holders", "config"} {
-				env.store.Set(kind, "a-odd", spec)
+				env.store.Set(kind, "a-malformed", spec)
 				env.store.Set(kind, "g", spec)
 			}
 			started := env.start("front-2")
@@ -64,11 +64,11 @@
 					return target == nil || target.candidate(false).Leaving
 				})
 				env.eventually("daemons know each other", func() bool { return d.knows("front-1") && d.knows("front-2") })
-				if strings.Contains(spec, "127.0.0.1:6") && d.knows("a-odd") {
+				if strings.Contains(spec, "127.0.0.1:6") && d.knows("a-malformed") {
 					t.Error("got a daemon known whose port is out of range, want it unknown")
 				}
 				if got := len(d.view.Load().groups["g"].targets); got > 3 {
-					t.Errorf("got %d targets, want none for the odd entry", got)
+					t.Errorf("got %d targets, want none for the malformed entry", got)
 				}
 				if got := d.connect("entries").query("WRITE a 1"); !standin.Completed(got) {
 					t.Errorf("got %q, want a success", got)
@@ -82,9 +82,9 @@
 	return slices.ContainsFunc(*d.peers.list.Load(), func(p placement.Peer) bool { return p.ID == id })
 }
 
-// Guards against an odd claim that keeps a group from getting a new primary.
-func TestOddClaimDoesNotBlockAPromotion(t *testing.T) {
-	for name, spec := range oddSpecs() {
+// Guards against a malformed claim that keeps a group from getting a new primary.
+func TestMalformedClaimDoesNotBlockAPromotion(t *testing.T) {
+	for name, spec := range malformedSpecs() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			env := newTestEnv(t)
