entry: keep malformed group records out of force

The reader of the other codec: `serve` put into force a group record of another writer that stood under the key of another group, had slots or connections out of range, or an address without a usable port. Six rows of TestValidate failed on the old code. Nested ones and numbers over a float were refused already; rows hold that now.

--- a/internal/process/entry/published.go
+++ b/internal/process/entry/published.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
+	"strconv"
 	"strings"
 
 	"go.uber.org/zap"
@@ -150,8 +152,37 @@
 	if err := json.Unmarshal(o.Value, &rec); err != nil {
 		return fmt.Errorf("decode group: %w", err)
 	}
+	if name, _ := cutPrefix(o.Key, config.Groups); string(rec.ID) != name {
+		return fmt.Errorf("group %.64q under the key of %s", rec.ID, name)
+	}
 	if n := len(rec.Targets); n == 0 || n > maxGroupTargets {
 		return fmt.Errorf("group of %d targets, want 1 to %d", n, maxGroupTargets)
 	}
+	for i := range rec.Targets {
+		if err := validateTarget(&rec.Targets[i]); err != nil {
+			return fmt.Errorf("target %.64q: %w", rec.Targets[i].ID, err)
+		}
+	}
+	return nil
+}
+
+// maxTargetSize bounds the slots and the connections of a target. Larger numbers are no sizes of a target.
+const maxTargetSize = 1 << 16
+
+// validateTarget returns an error for a target that cannot be used.
+func validateTarget(t *group.Target) error {
+	if t.Slots < 0 || t.Slots > maxTargetSize || t.Connections < 0 || t.Connections > maxTargetSize {
+		return fmt.Errorf("%d slots and %d connections, want 0 to %d", t.Slots, t.Connections, maxTargetSize)
+	}
+	if t.Address == "" {
+		return nil
+	}
+	_, port, err := net.SplitHostPort(t.Address)
+	if err != nil {
+		return fmt.Errorf("address: %w", err)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return fmt.Errorf("address %.64q: want a port from 1 to 65535", t.Address)
+	}
 	return nil
 }
--- a/internal/process/entry/published_test.go
+++ b/internal/process/entry/published_test.go
@@ -37,7 +37,9 @@
 	return platform.Object{Key: key, Version: v, Value: value}
 }
 
+// Guards against malformed objects of another writer that are put into force.
 func TestValidate(t *testing.T) {
+	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
 	tests := []struct {
 		name   string
 		object platform.Object
@@ -50,6 +52,17 @@
 		{"group without targets", groupObject(t, 0, 1), "want 1 to 3"},
 		{"group too large", groupObject(t, 4, 1), "want 1 to 3"},
 		{"malformed group", platform.Object{Key: "groups/g", Value: []byte("{")}, "decode group"},
+		{"group under the key of another", platform.Object{Key: "groups/h", Value: []byte(`{"id":"g","targets":[{}]}`)}, "under the key of h"},
+		{"group nested too deeply", platform.Object{Key: "groups/g", Value: []byte(deep)}, "decode group"},
+		{"group with a field nested too deeply", platform.Object{Key: "groups/g", Value: []byte(`{"id":"g","targets":` + deep + `}`)}, "decode group"},
+		{"service nested too deeply", platform.Object{Key: "services/shop", Value: []byte(deep)}, "decode service"},
+		{"group with a number over a float", platform.Object{Key: "groups/g", Value: []byte(`{"id":"g","targets":[{"slots":1e999}]}`)}, "decode group"},
+		{"group with slots out of range", platform.Object{Key: "groups/g", Value: []byte(`{"id":"g","targets":[{"slots":9000000000000000000}]}`)}, "want 0 to"},
+		{"group with connections out of range", platform.Object{Key: "groups/g", Value: []byte(`{"id":"g","targets":[{"connections":-1}]}`)}, "want 0 to"},
+		{"group with a port out of range", platform.Object{Key: "groups/g", Value: []byte(`{"id":"g","targets":[{"address":"db-1:65536"}]}`)}, "want a port"},
+		{"group with port 0", platform.Object{Key: "groups/g", Value: []byte(`{"id":"g","targets":[{"address":"db-1:0"}]}`)}, "want a port"},
+		{"group with an address without a port", platform.Object{Key: "groups/g", Value: []byte(`{"id":"g","targets":[{"address":"db-1"}]}`)}, "address"},
+		{"group with a host name", platform.Object{Key: "groups/g", Value: []byte(`{"id":"g","targets":[{"address":"db-1:5432","slots":5,"connections":30}]}`)}, ""},
 	}
 	for _, tt := range tests {
 		err := validate(tt.object)
