edge: look for due groups twice a second, and report refused startups

The keeper of commit holders woke ten times a second on every daemon, also where no group has synchronous commits. Its checks are 1 s apart at least, so two looks a second suffice. A refused startup wrote no log line; it is reported like any other malformed message (TestRefusedStartupIsReported).

--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -345,7 +345,7 @@
 			l.Conn.Forget(e.prepared)
 			return e.returnLease(l)
 		}
-		e.returnLease(l) // the target answers what it was not asked; the caller is told
+		e.returnLease(l) // no statement of that name was sent, so the error goes to the caller
 	case statement.Busy, statement.Lagging, statement.ReadOnly, statement.WrongTarget, statement.TooManyConnections:
 		e.primaryBusy = e.primaryBusy || l.Primary && code == statement.Busy
 		e.req.Need.Tried = append(e.req.Need.Tried, l.Target)
--- a/internal/connection/relay/session.go
+++ b/internal/connection/relay/session.go
@@ -98,6 +98,7 @@
 	if errors.As(err, &bad) {
 		s.wire.Error(bad.Code, bad.Reason)
 		_ = s.flush() // the session ends anyway
+		s.reportMessageError(bad)
 		return false
 	}
 	if err != nil {
@@ -170,15 +171,20 @@
 		return false
 	}
 	s.fail(bad.Code, bad.Reason)
-	now := s.now()
-	id := bad.ID[:min(len(bad.ID), maxReportedID)]
-	s.deps().Report(&Outcome{Session: s.id, ID: id, Database: s.database, Code: bad.Code, Cause: bad.Reason, Arrived: now, Finished: now})
+	s.reportMessageError(bad)
 	if bad.Fatal {
 		_ = s.flush() // the session ends anyway
 	}
 	return !bad.Fatal
 }
 
+// reportMessageError reports a message that was refused because it cannot be handled.
+func (s *session) reportMessageError(bad *statement.MessageError) {
+	now := s.now()
+	id := bad.ID[:min(len(bad.ID), maxReportedID)]
+	s.deps().Report(&Outcome{Session: s.id, ID: id, Database: s.database, Code: bad.Code, Cause: bad.Reason, Arrived: now, Finished: now})
+}
+
 func (s *session) flush() error {
 	return s.wire.Flush(s.deps().Clock.Deadline(s.now() + s.server.cfg.WriteTimeout))
 }
--- a/internal/connection/relay/session_test.go
+++ b/internal/connection/relay/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
@@ -222,3 +223,16 @@
 		}
 	}
 }
+
+func TestRefusedStartupIsReported(t *testing.T) {
+	b := newTestBed(t, topology.Strong)
+	b.session.wire.Startup = func(time.Time) (topology.Database, error) {
+		return "", &statement.MessageError{Code: statement.Malformed, Reason: "control character", Fatal: true}
+	}
+	if b.session.startup(t.Context()) {
+		t.Error("got the session continued, want it ended")
+	}
+	if len(b.outcomes) != 1 || b.outcomes[0].Code != statement.Malformed || b.outcomes[0].Cause != "control character" {
+		t.Errorf("got %+v reported, want the refusal", b.outcomes)
+	}
+}
--- a/internal/process/edge/quorum.go
+++ b/internal/process/edge/quorum.go
@@ -23,6 +23,8 @@
 	// holdersPrefix is the key prefix of the records of the targets that may hold acknowledged commits, one for each group whose commits
 	// are synchronous.
 	holdersPrefix = "cactusfork-holders/"
+	// holdersPollInterval is the time between two looks for groups that are due, in milliseconds.
+	holdersPollInterval clock.Millis = 500
 	// minHoldersInterval and maxHoldersInterval bound the time between two checks of a group by this daemon.
 	minHoldersInterval = clock.Second
 	maxHoldersInterval = 2 * clock.Second
@@ -66,7 +68,7 @@
 // keepHolders checks the groups whose commits are synchronous until ctx ends.
 func (d *Daemon) keepHolders(ctx context.Context) {
 	k := &holderKeeper{d: d, groups: make(map[group.ID]*keptGroup)}
-	for d.clk.Sleep(ctx, tickInterval) == nil {
+	for d.clk.Sleep(ctx, holdersPollInterval) == nil {
 		v := d.view.Load()
 		if v.config == nil || !d.storeUp.Load() {
 			continue
