edge: give the claim back after each attempt to settle a promotion

A daemon that found a stalled replica and got no answer for the promotion that fences an earlier one off left its claim open, so that a change of primary that was due had to wait 3 s for it. And a replica that was cut off from its primary for good made each daemon take the claim every 3 s. With SyncReplicas only.

Evidence: TestSettlingDoesNotKeepTheClaim on the old code: "the claim is closed and unsettled: timed out after 10s".

The claim is now closed as unsettled in each case, and the attempts double from 3 s to 60 s while the stall lasts.

--- a/internal/process/edge/quorum.go
+++ b/internal/process/edge/quorum.go
@@ -32,8 +32,10 @@
 	holdersIntervalPerDaemon clock.Millis = 300
 	// goneTime is how long a recorded target must be unknown to this daemon before it counts as gone.
 	goneTime = 3 * clock.Second
-	// settleInterval is the minimum time between two attempts of this daemon to let the stalled replicas of a group receive again.
-	settleInterval = claimTTL
+	// minSettleDelay is the wait between the first two attempts of this daemon to let the stalled replicas of a group receive again. The
+	// wait doubles up to maxSettleDelay, as a replica may be cut off from its primary, and each attempt takes the claim.
+	minSettleDelay = claimTTL
+	maxSettleDelay = 60 * clock.Second
 )
 
 // holdersRecord is the stored record of a group's holders.
@@ -61,8 +63,9 @@
 	// received holds what the replicas held at the last check, and primary what the primary held then.
 	received map[group.TargetID]position.Point
 	primary  position.Point
-	// settleAt is the earliest time of the next attempt to end a stall.
-	settleAt clock.Millis
+	// settleAt is the earliest time of the next attempt to end a stall, and settleDelay the wait before it; 0 while none is stalled.
+	settleAt    clock.Millis
+	settleDelay clock.Millis
 }
 
 // keepHolders checks the groups whose commits are synchronous until ctx ends.
@@ -220,10 +223,15 @@
 	}
 	kept.received, kept.primary = received, primary
 	now := k.d.clk.Now()
-	if !stalled || now < kept.settleAt {
+	if !stalled {
+		kept.settleAt, kept.settleDelay = 0, 0
 		return
 	}
-	kept.settleAt = now + settleInterval
+	if now < kept.settleAt {
+		return
+	}
+	kept.settleDelay = min(max(2*kept.settleDelay, minSettleDelay), maxSettleDelay)
+	kept.settleAt = now + kept.settleDelay
 	err := k.d.settleReplicas(ctx, g)
 	k.d.log.Info("stalled replicas resumed", zap.String("group", string(g.id)), zap.Any("targets", present), zap.Stringer("primary-point", primary), zap.Error(err))
 }
@@ -234,19 +242,17 @@
 	if err != nil {
 		return err
 	}
-	primary := g.target(g.primary)
-	if _, err := d.provePrimary(ctx, g.id, primary); err != nil {
-		d.closeClaim(ctx, g.id, c)
-		return err
+	defer func() { d.closeClaim(ctx, g.id, c) }()
+	if _, err := d.provePrimary(ctx, g.id, g.target(g.primary)); err != nil {
+		return fmt.Errorf("settle: %w", err)
 	}
 	if c.unsettled {
 		// A promotion whose response was lost may still be executed. This one changes nothing and has the platform refuse the earlier one.
 		if err := d.promote(ctx, g.id, g.primary, c.fence); err != nil {
-			return fmt.Errorf("settle: %w", err) // the claim stays open, and so unsettled
+			return fmt.Errorf("settle: %w", err)
 		}
 	}
 	d.resumeReplicas(ctx, g)
 	c.unsettled = false
-	d.closeClaim(ctx, g.id, c)
 	return nil
 }
--- a/internal/process/edge/quorum_test.go
+++ b/internal/process/edge/quorum_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -211,3 +212,39 @@
 		t.Errorf("got %s as the primary, want g-0", got.ID)
 	}
 }
+
+// Guards against claims that keep a group from getting a new primary: for a replica that stays cut off, and for a promotion that the
+// platform does not answer.
+func TestSettlingDoesNotKeepTheClaim(t *testing.T) {
+	env := newSynchronousEnv(t)
+	d := env.start("front-1")
+	env.awaitHolders(d, "g-0 g-1 g-2")
+	settled, claimsWritten := 0, 0
+	var mu sync.Mutex
+	env.store.SetFault(func(r *http.Request) standin.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if standin.WritesClaim(r) {
+			claimsWritten++
+		}
+		if standin.PromotionFence(r) != "" {
+			settled++
+			return standin.Fault{Status: http.StatusServiceUnavailable}
+		}
+		return standin.Fault{}
+	})
+	env.store.Set("cactusfork-claims", "g", `{"holder":"front-9","unsettled":true}`)
+	env.group.Targets[1].SetReplicationPaused(true)
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		d.connect("entries").query("WRITE a 1")
+	}
+	mu.Lock()
+	// Attempts follow each other after 3 s and 6 s. Each writes the claim twice.
+	if settled == 0 || claimsWritten > 6 {
+		t.Errorf("got %d attempts and %d writes of the claim, want some and at most 6", settled, claimsWritten)
+	}
+	mu.Unlock()
+	env.eventually("the claim is closed and unsettled", func() bool {
+		return env.store.Text("cactusfork-claims", "g") == `{"holder":"front-1","open":false,"unsettled":true}`
+	})
+}
