relay: identify callers by key and give each connection a workspace

Cause: a configuration with workspaces was served as if every caller might use every route. Change: the directory of a configuration maps digests of keys to workspaces; a session looks its key up before each statement outside a transaction; a connection to a target belongs to one workspace; a forwarded session names the workspace and the version of the configuration, not the key. A daemon whose configuration may be out of date refuses with BUSY in place of NOAUTH. Without workspaces nothing changes. Admit and Refund are the interface to the limits, which do not exist yet.

--- a/internal/connection/link/conn.go
+++ b/internal/connection/link/conn.go
@@ -11,6 +11,7 @@
 	"github.com/cactusfork/cactusfork/internal/connection/socket"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
@@ -44,9 +45,11 @@
 // Conn is one connection to a target. It must be used by one goroutine at a time.
 type Conn struct {
 	Target group.TargetID
-	wire   Wire
-	tcp    net.Conn
-	clk    *clock.Clock
+	// workspace is the workspace of the connection; empty for one that carries statements without a workspace.
+	workspace workspace.ID
+	wire      Wire
+	tcp       net.Conn
+	clk       *clock.Clock
 	// values are the session values in force on the connection, and prepared the names of its prepared statements.
 	values   Values
 	prepared map[string]bool
@@ -64,8 +67,8 @@
 }
 
 // newConn returns a connection whose startup has succeeded.
-func newConn(id group.TargetID, w Wire, tcp net.Conn, clk *clock.Clock) *Conn {
-	return &Conn{Target: id, wire: w, tcp: tcp, clk: clk, prepared: make(map[string]bool), lastReply: clk.Now()}
+func newConn(id group.TargetID, ws workspace.ID, w Wire, tcp net.Conn, clk *clock.Clock) *Conn {
+	return &Conn{Target: id, workspace: ws, wire: w, tcp: tcp, clk: clk, prepared: make(map[string]bool), lastReply: clk.Now()}
 }
 
 // IdleTime returns the time since the last reply.
--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -12,6 +12,7 @@
 
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
@@ -74,6 +75,10 @@
 	cfg PoolConfig
 
 	mu sync.Mutex
+	// limit is the number of connections that may be open.
+	limit int
+	// keepIdle is true while idle connections beyond the recent peak are kept, because they belong to different workspaces.
+	keepIdle bool
 	// earlyLimit is the number of connections that may be open until EarlyLimitUntil.
 	earlyLimit int
 	// servedElsewhere is true while other daemons serve the target's group for this one.
@@ -96,7 +101,20 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool(cfg PoolConfig) *Pool { return &Pool{cfg: cfg, earlyLimit: minEarlyLimit} }
+func NewPool(cfg PoolConfig) *Pool {
+	return &Pool{cfg: cfg, limit: cfg.Maximum, earlyLimit: minEarlyLimit}
+}
+
+// SetWorkspaceLimit sets the number of connections that may be open while connections belong to workspaces, and that idle ones are
+// kept. A limit of 0 means that there are no workspaces: then the Maximum of the configuration applies.
+func (p *Pool) SetWorkspaceLimit(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit, p.keepIdle = p.cfg.Maximum, n > 0
+	if n > 0 {
+		p.limit = min(n, p.cfg.Maximum)
+	}
+}
 
 // SetEarlyLimit sets the number of connections that may be open until EarlyLimitUntil.
 func (p *Pool) SetEarlyLimit(n int) {
@@ -113,21 +131,29 @@
 	p.servedElsewhere = servedElsewhere
 }
 
-// Get returns an idle connection, preferably one where the values v are in force, or opens one. It waits until the deadline
-// at most.
-func (p *Pool) Get(ctx context.Context, v *Values, deadline clock.Millis) (*Conn, error) {
-	return p.get(ctx, v, deadline, deadline)
+// anyWorkspace stands for the workspace of statements of the daemon itself, which run on a connection of any workspace.
+const anyWorkspace workspace.ID = "\x00any"
+
+// Get returns an idle connection of the workspace, preferably one where the values v are in force, or opens one. It waits until the
+// deadline at most.
+func (p *Pool) Get(ctx context.Context, ws workspace.ID, v *Values, deadline clock.Millis) (*Conn, error) {
+	return p.get(ctx, ws, v, deadline, deadline)
+}
+
+// GetAny returns an idle connection of any workspace for statements of the daemon itself, or opens one.
+func (p *Pool) GetAny(ctx context.Context, deadline clock.Millis) (*Conn, error) {
+	return p.get(ctx, anyWorkspace, &Values{}, deadline, deadline)
 }
 
 // get waits until waitDeadline for a free connection or for permission to open one, and until deadline for one that it opens.
-func (p *Pool) get(ctx context.Context, v *Values, waitDeadline, deadline clock.Millis) (*Conn, error) {
+func (p *Pool) get(ctx context.Context, ws workspace.ID, v *Values, waitDeadline, deadline clock.Millis) (*Conn, error) {
 	for {
-		c, wait, err := p.tryAcquire(v)
+		c, wait, err := p.tryAcquire(ws, v)
 		if err != nil || c != nil {
 			return c, err
 		}
 		if wait == nil {
-			c, err = p.dial(ctx, deadline)
+			c, err = p.dial(ctx, ws, deadline)
 			p.finishOpening()
 			if err == nil || !errors.Is(err, ErrFull) {
 				return c, err
@@ -158,13 +184,13 @@
 	}
 	p.open++
 	p.mu.Unlock()
-	return p.dial(ctx, deadline)
+	return p.dial(ctx, anyWorkspace, deadline)
 }
 
 // GetOrOpen returns a connection for a probe that callers wait for: one that becomes idle soon, or else a new one beyond the
 // maximum, because transactions may hold all other connections for long.
 func (p *Pool) GetOrOpen(ctx context.Context, deadline clock.Millis) (*Conn, error) {
-	c, err := p.get(ctx, &Values{}, min(deadline, p.cfg.Clock.Now()+idleConnWait), deadline)
+	c, err := p.get(ctx, anyWorkspace, &Values{}, min(deadline, p.cfg.Clock.Now()+idleConnWait), deadline)
 	if !errors.Is(err, ErrFull) {
 		return c, err
 	}
@@ -187,14 +213,13 @@
 }
 
 // tryAcquire returns an idle connection, or a channel to wait on, or neither if the caller may open a connection.
-func (p *Pool) tryAcquire(v *Values) (*Conn, <-chan struct{}, error) {
+func (p *Pool) tryAcquire(ws workspace.ID, v *Values) (*Conn, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, nil, ErrClosed
 	}
-	for len(p.idle) > 0 {
-		i := p.bestIdle(v)
+	for i := p.bestIdle(ws, v); i >= 0; i = p.bestIdle(ws, v) {
 		c := p.idle[i]
 		p.idle = append(p.idle[:i], p.idle[i+1:]...)
 		if c.usable() {
@@ -204,6 +229,12 @@
 		c.Break()
 		p.open--
 	}
+	if p.open >= p.maximum() && !p.opening && len(p.idle) > 0 {
+		// The idle connections belong to other workspaces. The one that was used last is the most likely to be used again.
+		p.idle[0].Break()
+		p.idle = p.idle[1:]
+		p.open--
+	}
 	if p.open >= p.maximum() || p.opening || p.cfg.Clock.Now() < p.fullUntil {
 		if p.available == nil {
 			p.available = make(chan struct{})
@@ -219,28 +250,38 @@
 // maximum returns how many connections may be open now.
 func (p *Pool) maximum() int {
 	if p.cfg.Clock.Now() < p.cfg.EarlyLimitUntil {
-		return min(p.earlyLimit, p.cfg.Maximum)
+		return min(p.earlyLimit, p.limit)
 	}
-	return p.cfg.Maximum
+	return p.limit
 }
 
 // recordUse updates the peak of connections in use; p.mu must be held.
 func (p *Pool) recordUse() { p.peak = max(p.peak, p.open-len(p.idle)) }
 
-// bestIdle returns the index of the idle connection that was used last and has the values v in force, or else of the one that
-// was used last.
-func (p *Pool) bestIdle(v *Values) int {
+// bestIdle returns the index of the idle connection of the workspace that was used last and has the values v in force, or else of
+// the one that was used last. It returns -1 if the workspace has none.
+func (p *Pool) bestIdle(ws workspace.ID, v *Values) int {
+	best := -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
+		if ws != anyWorkspace && p.idle[i].workspace != ws {
+			continue
+		}
 		if p.idle[i].values.key == v.key {
 			return i
 		}
+		if best < 0 {
+			best = i
+		}
 	}
-	return len(p.idle) - 1
+	return best
 }
 
 // dial opens a connection that p.open counts already.
-func (p *Pool) dial(ctx context.Context, deadline clock.Millis) (*Conn, error) {
-	c, err := p.connect(ctx, deadline)
+func (p *Pool) dial(ctx context.Context, ws workspace.ID, deadline clock.Millis) (*Conn, error) {
+	if ws == anyWorkspace {
+		ws = ""
+	}
+	c, err := p.connect(ctx, ws, deadline)
 	if err == nil {
 		return c, nil
 	}
@@ -254,7 +295,7 @@
 	return nil, err
 }
 
-func (p *Pool) connect(ctx context.Context, deadline clock.Millis) (*Conn, error) {
+func (p *Pool) connect(ctx context.Context, ws workspace.ID, deadline clock.Millis) (*Conn, error) {
 	tcp, err := p.cfg.Dial(ctx, p.cfg.Address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
@@ -264,9 +305,9 @@
 	}
 	w := p.cfg.Protocol(tcp)
 	startupDeadline := min(deadline, p.cfg.Clock.Now()+p.cfg.StartupTimeout)
-	r, err := w.Startup(p.cfg.Group, p.cfg.Target, p.cfg.Clock.Deadline(startupDeadline))
+	r, err := w.Startup(Login{Name: string(p.cfg.Group), Workspace: ws, Target: p.cfg.Target}, p.cfg.Clock.Deadline(startupDeadline))
 	if err == nil && r.Code == statement.OK {
-		return newConn(p.cfg.Target, w, tcp, p.cfg.Clock), nil
+		return newConn(p.cfg.Target, ws, w, tcp, p.cfg.Clock), nil
 	}
 	_ = tcp.Close() // the startup has failed
 	switch {
@@ -327,6 +368,9 @@
 		return
 	}
 	surplus := p.open - max(p.peak, p.lastPeak) - spareConns
+	if p.keepIdle {
+		surplus = 0
+	}
 	p.filterIdle(func(c *Conn) bool {
 		if surplus > 0 {
 			surplus--
--- a/internal/connection/link/pool_test.go
+++ b/internal/connection/link/pool_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/cactusfork/cactusfork/internal/request/statement"
-	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
@@ -34,7 +33,7 @@
 		Protocol: func(net.Conn) Wire {
 			f.opened++
 			return Wire{
-				Startup:  func(group.ID, group.TargetID, time.Time) (Reply, error) { return Reply{Code: f.code}, f.err },
+				Startup:  func(Login, time.Time) (Reply, error) { return Reply{Code: f.code}, f.err },
 				Send:     func(time.Time, ...Command) error { return nil },
 				Receive:  func(time.Time) (Reply, error) { return Reply{Completed: true}, nil },
 				Close:    func() error { f.closed++; return nil },
@@ -46,7 +45,7 @@
 
 func get(t *testing.T, p *Pool, v *Values) *Conn {
 	t.Helper()
-	c, err := p.Get(t.Context(), v, 1000)
+	c, err := p.Get(t.Context(), "", v, 1000)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -96,12 +95,12 @@
 func TestFullTargetIsNotUnreachable(t *testing.T) {
 	f := &fakeProtocol{code: statement.TooManyConnections}
 	p := f.pool(clock.System(), 4)
-	_, err := p.Get(t.Context(), &Values{}, clock.System().Now()+20)
+	_, err := p.Get(t.Context(), "", &Values{}, clock.System().Now()+20)
 	if !errors.Is(err, ErrFull) {
 		t.Errorf("got %v, want %v", err, ErrFull)
 	}
 	f.code = statement.WrongTarget
-	_, err = f.pool(clock.System(), 4).Get(t.Context(), &Values{}, clock.System().Now()+20)
+	_, err = f.pool(clock.System(), 4).Get(t.Context(), "", &Values{}, clock.System().Now()+20)
 	if !errors.Is(err, ErrUnreachable) {
 		t.Errorf("got %v, want %v", err, ErrUnreachable)
 	}
@@ -110,7 +109,7 @@
 func TestConnectionResetAtStartupMeansFull(t *testing.T) {
 	for _, err := range []error{syscall.ECONNRESET, io.EOF} {
 		f := &fakeProtocol{err: fmt.Errorf("read from target: %w", err)}
-		_, got := f.pool(clock.System(), 4).Get(t.Context(), &Values{}, clock.System().Now()+20)
+		_, got := f.pool(clock.System(), 4).Get(t.Context(), "", &Values{}, clock.System().Now()+20)
 		if !errors.Is(got, ErrFull) {
 			t.Errorf("%v: got %v, want %v", err, got, ErrFull)
 		}
@@ -119,7 +118,7 @@
 
 func TestStartupTimeoutHasItsOwnError(t *testing.T) {
 	f := &fakeProtocol{err: os.ErrDeadlineExceeded}
-	_, got := f.pool(clock.System(), 4).Get(t.Context(), &Values{}, clock.System().Now()+20)
+	_, got := f.pool(clock.System(), 4).Get(t.Context(), "", &Values{}, clock.System().Now()+20)
 	if !errors.Is(got, ErrStartupTimeout) || !errors.Is(got, ErrUnreachable) {
 		t.Errorf("got %v, want %v and %v", got, ErrStartupTimeout, ErrUnreachable)
 	}
@@ -169,7 +168,7 @@
 		{"a changed and a new value", &two, read, []Kind{Set, Set}},
 		{"a removed value resets all", &one, read, []Kind{Reset, Set, Prepare}},
 	}
-	c := newConn("t", Wire{}, nil, clock.System())
+	c := newConn("t", "", Wire{}, nil, clock.System())
 	for _, tt := range tests {
 		got := c.setupCommands(tt.values, tt.stmt)
 		if len(got) != len(tt.want) {
@@ -191,7 +190,7 @@
 	protocol := p.cfg.Protocol
 	p.cfg.Protocol = func(c net.Conn) Wire {
 		w := protocol(c)
-		w.Startup = func(group.ID, group.TargetID, time.Time) (Reply, error) {
+		w.Startup = func(Login, time.Time) (Reply, error) {
 			started <- struct{}{}
 			<-release
 			return Reply{}, nil
@@ -202,7 +201,7 @@
 	served := make(chan *Conn, 5)
 	for range cap(served) {
 		go func() {
-			c, err := p.Get(t.Context(), &Values{}, deadline)
+			c, err := p.Get(t.Context(), "", &Values{}, deadline)
 			if err != nil {
 				t.Errorf("got %v, want a connection", err)
 			}
@@ -228,7 +227,7 @@
 	f := &fakeProtocol{err: errors.New("cut")}
 	p := f.pool(clock.System(), 8)
 	for range 3 {
-		if _, err := p.Get(t.Context(), &Values{}, clock.System().Now()+clock.Second); !errors.Is(err, ErrUnreachable) {
+		if _, err := p.Get(t.Context(), "", &Values{}, clock.System().Now()+clock.Second); !errors.Is(err, ErrUnreachable) {
 			t.Errorf("got %v, want %v", err, ErrUnreachable)
 		}
 	}
@@ -244,15 +243,15 @@
 	p.cfg.EarlyLimitUntil = 4000
 	p.SetEarlyLimit(3)
 	for range 3 {
-		if _, err := p.Get(t.Context(), &Values{}, 1000); err != nil {
+		if _, err := p.Get(t.Context(), "", &Values{}, 1000); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if _, err := p.Get(t.Context(), &Values{}, 1000); !errors.Is(err, ErrFull) {
+	if _, err := p.Get(t.Context(), "", &Values{}, 1000); !errors.Is(err, ErrFull) {
 		t.Errorf("got %v under the early limit, want %v", err, ErrFull)
 	}
 	m.Advance(3000)
-	if _, err := p.Get(t.Context(), &Values{}, 5000); err != nil {
+	if _, err := p.Get(t.Context(), "", &Values{}, 5000); err != nil {
 		t.Errorf("got %v after the early limit, want a connection", err)
 	}
 }
@@ -267,7 +266,7 @@
 	protocol := p.cfg.Protocol
 	p.cfg.Protocol = func(c net.Conn) Wire {
 		w := protocol(c)
-		w.Startup = func(_ group.ID, _ group.TargetID, deadline time.Time) (Reply, error) {
+		w.Startup = func(_ Login, deadline time.Time) (Reply, error) {
 			startupDeadline = deadline
 			return Reply{}, nil
 		}
@@ -310,7 +309,7 @@
 		f := &fakeProtocol{}
 		p := f.pool(&m.Clock, 8)
 		p.SetServedElsewhere(tt.servedElsewhere)
-		c, err := p.Get(t.Context(), &Values{}, 2000)
+		c, err := p.Get(t.Context(), "", &Values{}, 2000)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/connection/link/wire.go
+++ b/internal/connection/link/wire.go
@@ -5,6 +5,7 @@
 
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
@@ -88,10 +89,22 @@
 	Connections int
 }
 
+// Login is the content of a startup message to a target or to another daemon.
+type Login struct {
+	// Name is the name of the group or, to another daemon, of the database.
+	Name string
+	// Workspace is the workspace whose statements the connection carries; it is empty without one.
+	Workspace workspace.ID
+	// Target is the target that is expected to answer; it is empty for another daemon.
+	Target group.TargetID
+	// Version is, for another daemon, the version of the configuration that names the workspace; 0 without one.
+	Version uint64
+}
+
 // Wire is the protocol on one connection to a target.
 type Wire struct {
 	// Startup logs in. It fails if another target than the expected one answers.
-	Startup func(g group.ID, id group.TargetID, deadline time.Time) (Reply, error)
+	Startup func(l Login, deadline time.Time) (Reply, error)
 	// Send writes commands, whose replies arrive in the same order.
 	Send func(deadline time.Time, commands ...Command) error
 	// Receive reads the next reply; after a time-out it can be called again.
--- a/internal/connection/relay/forward.go
+++ b/internal/connection/relay/forward.go
@@ -39,7 +39,7 @@
 	e.req.Group = r.Group
 	e.deadline = s.server.answerBy(e.asOf + r.Timeout + homeReplyMargin)
 	e.outcome = Outcome{
-		Session: s.id, ID: st.ID, Database: s.database, Route: r, Verb: st.Verb, Writes: e.writes,
+		Session: s.id, ID: st.ID, Database: s.database, Workspace: s.workspaceID(), Route: r, Verb: st.Verb, Writes: e.writes,
 		Arrived: e.asOf, Attempts: 1, Home: s.home.ID,
 	}
 	clk := s.deps().Clock
--- a/internal/connection/relay/forward_test.go
+++ b/internal/connection/relay/forward_test.go
@@ -12,6 +12,7 @@
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 )
 
 // attachHome makes a session of another test bed the home of the session. After disconnect is called, the home does not
@@ -114,10 +115,13 @@
 func TestForwardedSessionIsNotForwardedAgain(t *testing.T) {
 	b := newTestBed(t, topology.Bounded)
 	homeCalls := 0
-	b.session.server.deps.Home = func(context.Context, group.ID, topology.Database) *Home { homeCalls++; return nil }
+	b.session.server.deps.Home = func(context.Context, group.ID, topology.Database, *workspace.Workspace) *Home {
+		homeCalls++
+		return nil
+	}
 	b.session.forwarded = true
-	b.session.wire.Startup = func(time.Time) (topology.Database, error) { return "db", nil }
-	if !b.session.startup(t.Context()) || homeCalls != 0 {
+	b.session.wire.Startup = func(time.Time) (Startup, error) { return Startup{Database: "db"}, nil }
+	if !b.session.start(t.Context()) || homeCalls != 0 {
 		t.Errorf("got %d calls of Home, want none", homeCalls)
 	}
 }
--- a/internal/connection/relay/harness_test.go
+++ b/internal/connection/relay/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
@@ -57,7 +58,7 @@
 func (f *fakeTarget) wire() link.Wire {
 	c := &fakeConn{t: f, values: map[string]string{}, prepared: map[string]string{}}
 	return link.Wire{
-		Startup: func(group.ID, group.TargetID, time.Time) (link.Reply, error) { return link.Reply{}, nil },
+		Startup: func(link.Login, time.Time) (link.Reply, error) { return link.Reply{}, nil },
 		Send: func(_ time.Time, commands ...link.Command) error {
 			for i := range commands {
 				c.handle(&commands[i])
@@ -212,7 +213,10 @@
 		PrimaryProven:   func(group.ID, group.TargetID, placement.Sample) {},
 		TargetReplied:   func(group.ID, group.TargetID, *link.Reply, clock.Millis) {},
 		ConnFailed:      func(_ group.ID, _ group.TargetID, _ clock.Millis, err error) { b.lost = append(b.lost, err) },
-		Home:            func(context.Context, group.ID, topology.Database) *Home { return nil },
+		Identify:        func(*Startup, bool, *topology.Route) (*workspace.Workspace, *statement.Refusal) { return nil, nil },
+		Admit:           func(context.Context, *workspace.Workspace, clock.Millis) error { return nil },
+		Refund:          func(*workspace.Workspace) {},
+		Home:            func(context.Context, group.ID, topology.Database, *workspace.Workspace) *Home { return nil },
 		Serves:          func(group.ID, group.DaemonID) bool { return true },
 		HomeReplied:     func(_ group.ID, _ clock.Millis, refused bool) { b.homeRefusals = append(b.homeRefusals, refused) },
 		HomeFailed:      func(group.DaemonID) { b.homesLost++ },
@@ -257,7 +261,7 @@
 		if tried {
 			continue
 		}
-		conn, err := b.pools[f.id].Get(ctx, req.Values, req.Deadline)
+		conn, err := b.pools[f.id].Get(ctx, req.Workspace, req.Values, req.Deadline)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -75,9 +75,9 @@
 	}
 	e.deadline = s.server.answerBy(e.asOf + r.Timeout)
 	e.outcome = Outcome{
-		Session: s.id, ID: st.ID, Database: s.database, Route: r, Verb: st.Verb, Writes: e.writes, Arrived: e.asOf,
+		Session: s.id, ID: st.ID, Database: s.database, Workspace: s.workspaceID(), Route: r, Verb: st.Verb, Writes: e.writes, Arrived: e.asOf,
 	}
-	e.req = LeaseRequest{Group: r.Group, Values: &s.values, Priority: r.Priority, Writes: e.writes, SoftDeadline: e.asOf + r.LatencyObjective, Deadline: e.deadline}
+	e.req = LeaseRequest{Group: r.Group, Workspace: s.workspaceID(), Values: &s.values, Priority: r.Priority, Writes: e.writes, SoftDeadline: e.asOf + r.LatencyObjective, Deadline: e.deadline}
 	return e, true
 }
 
@@ -88,7 +88,22 @@
 		return
 	}
 	e.req.Need.PrimaryOnly = e.writes
-	e.runAttempts(ctx, e.attemptSingle)
+	e.runOperation(ctx, e.attemptSingle)
+}
+
+// runOperation makes attempts at a single statement, or at the first one of a transaction, within the limit of the workspace.
+func (e *execution) runOperation(ctx context.Context, attempt func(ctx context.Context, l *Lease) attemptResult) {
+	w := e.s.workspace
+	if w != nil {
+		if err := e.s.deps().Admit(ctx, w, e.deadline); err != nil {
+			e.refuse(err)
+			return
+		}
+	}
+	e.runAttempts(ctx, attempt)
+	if w != nil && e.outcome.Code.NotRun() {
+		e.s.deps().Refund(w)
+	}
 }
 
 // runAttempts makes attempts until the caller has a reply.
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -9,14 +9,15 @@
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
 
 // Wire is the protocol on a caller connection. Body, Complete, Error and Ready append to the output that Flush sends.
 type Wire struct {
-	// Startup reads the startup message and returns the database that the caller asks for.
-	Startup func(deadline time.Time) (topology.Database, error)
+	// Startup reads the startup message.
+	Startup func(deadline time.Time) (Startup, error)
 	// Receive reads the next statement. A zero deadline means no limit. The error for a message that cannot be handled is a
 	// *statement.MessageError.
 	Receive func(deadline time.Time) (statement.Statement, error)
@@ -33,10 +34,24 @@
 	Close     func() error
 }
 
+// Startup is the content of a startup message.
+type Startup struct {
+	// Database is the database that the caller asks for.
+	Database topology.Database
+	// Key stands for the key of a caller.
+	Key workspace.Digest
+	// Workspace is the workspace of a session that another daemon has forwarded, and Version the version of the configuration by which
+	// that daemon knows it. Workspace is empty for a session without one.
+	Workspace workspace.ID
+	Version   topology.Version
+}
+
 // LeaseRequest describes a statement for which a session needs a target, a slot and a connection.
 type LeaseRequest struct {
 	Group group.ID
 	Need  placement.Need
+	// Workspace is the workspace of the statement; it is empty without one.
+	Workspace workspace.ID
 	// Values are the values of the session. A connection where they are in force is preferred.
 	Values *link.Values
 	// Priority is the priority of the route; 0 is the most urgent.
@@ -69,6 +84,13 @@
 	Clock *clock.Clock
 	// Route returns the route to a database; known is false while there is no configuration yet.
 	Route func(d topology.Database) (r *topology.Route, known bool)
+	// Identify returns the workspace for which a session with the startup message may use the route. It is nil if the session needs
+	// none. The refusal is nil if the session may use the route.
+	Identify func(s *Startup, forwarded bool, r *topology.Route) (*workspace.Workspace, *statement.Refusal)
+	// Admit takes one operation out of the limit of the workspace. Its error is a *statement.Refusal or the error of ctx. Refund gives
+	// back an operation that was not run.
+	Admit  func(ctx context.Context, w *workspace.Workspace, deadline clock.Millis) error
+	Refund func(w *workspace.Workspace)
 	// TransactionIdle returns how long a transaction may be idle; 0 means no limit.
 	TransactionIdle func() clock.Millis
 	// Acquire waits for a target, a slot and a connection. Its error is a *statement.Refusal or the error of ctx.
@@ -81,9 +103,9 @@
 	TargetReplied func(g group.ID, t group.TargetID, r *link.Reply, latency clock.Millis)
 	// ConnFailed records the failure of a connection to a target; sentAt is when the command that failed was sent.
 	ConnFailed func(g group.ID, t group.TargetID, sentAt clock.Millis, err error)
-	// Home opens a session at the home daemon of the group. It returns nil if this daemon serves the group or no other is
-	// available.
-	Home func(ctx context.Context, g group.ID, d topology.Database) *Home
+	// Home opens a session of the workspace at the home daemon of the group. It returns nil if this daemon serves the group or no
+	// other is available.
+	Home func(ctx context.Context, g group.ID, d topology.Database, w *workspace.Workspace) *Home
 	// Serves reports whether daemon d should serve the sessions of the group that arrive at this daemon; "" is this daemon.
 	Serves func(g group.ID, d group.DaemonID) bool
 	// HomeReplied records a reply of the home daemon to a statement that arrived at the given time. The argument refused is
@@ -103,9 +125,11 @@
 	Session  SessionID
 	ID       statement.ID
 	Database topology.Database
-	Route    *topology.Route
-	Verb     statement.Verb
-	Writes   bool
+	// Workspace is the workspace of the session; it is empty without one.
+	Workspace workspace.ID
+	Route     *topology.Route
+	Verb      statement.Verb
+	Writes    bool
 	// Home is the home daemon that served the statement; it is empty if this daemon served it.
 	Home   group.DaemonID
 	Target group.TargetID
--- a/internal/connection/relay/seek.go
+++ b/internal/connection/relay/seek.go
@@ -45,7 +45,7 @@
 	if s.deps().Serves(r.Group, current) {
 		return
 	}
-	h := s.deps().Home(ctx, r.Group, s.database)
+	h := s.deps().Home(ctx, r.Group, s.database, s.workspace)
 	if h != nil && s.replaySetup(h) != nil {
 		_ = h.Wire.Close() // the connection is not used again
 		s.deps().HomeFailed(h.ID)
--- a/internal/connection/relay/seek_test.go
+++ b/internal/connection/relay/seek_test.go
@@ -10,6 +10,7 @@
 	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
@@ -44,7 +45,7 @@
 func (b *testBed) setHome(id group.DaemonID, h *Home) {
 	s := &b.session.server.deps
 	s.Serves = func(_ group.ID, d group.DaemonID) bool { return d == id }
-	s.Home = func(context.Context, group.ID, topology.Database) *Home { return h }
+	s.Home = func(context.Context, group.ID, topology.Database, *workspace.Workspace) *Home { return h }
 	b.session.nextHomeCheck = 0
 }
 
--- a/internal/connection/relay/server.go
+++ b/internal/connection/relay/server.go
@@ -122,6 +122,15 @@
 	}
 }
 
+// Recheck ends the sessions whose keys were taken away by a new configuration: idle ones now, the others after their transaction.
+func (s *Server) Recheck() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.sessions {
+		c.recheck()
+	}
+}
+
 // SetIsolated says whether another daemon can serve callers better. While it can, a session that was refused a statement ends as
 // soon as it is idle outside a transaction.
 func (s *Server) SetIsolated(isolated bool) { s.isolated.Store(isolated) }
--- a/internal/connection/relay/session.go
+++ b/internal/connection/relay/session.go
@@ -10,6 +10,7 @@
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
@@ -21,6 +22,9 @@
 	configPollInterval clock.Millis = 20
 	// maxReportedID is how much of the ID of a malformed message is reported, in bytes.
 	maxReportedID = 64
+	// revokedTransactionTime is how long an open transaction may go on after the key of its caller was taken away, in milliseconds. It
+	// leaves most of the time within which a configuration has to be applied for learning of it.
+	revokedTransactionTime clock.Millis = 1000
 )
 
 // session is one caller connection. Its own goroutine uses all fields except those that mu guards.
@@ -29,9 +33,12 @@
 	server   *Server
 	wire     Wire
 	database topology.Database
-	values   link.Values
-	prepared map[string]*link.Prepared
-	tx       *transaction
+	startup  Startup
+	// workspace is the workspace of the session; nil if the route needs none.
+	workspace *workspace.Workspace
+	values    link.Values
+	prepared  map[string]*link.Prepared
+	tx        *transaction
 	// forwarded is true for a session that another daemon has forwarded.
 	forwarded bool
 	// home is the session at the home daemon; it is nil while this daemon serves the session itself.
@@ -46,10 +53,16 @@
 	floorSent bool
 	// lastRefused is true from a statement that was refused as not run until one that is served.
 	lastRefused bool
+	// ended is true once the session has to end after its next reply.
+	ended bool
 
 	mu sync.Mutex
 	// idle is true while the session waits for its caller outside a transaction.
 	idle bool
+	// started is true once startup is set and the session is open.
+	started bool
+	// revokedAt is when the session was found to have lost its access; 0 while it has it.
+	revokedAt clock.Millis
 }
 
 // transaction is a caller's open transaction.
@@ -72,7 +85,7 @@
 // serve runs the session from the startup message to the end of the connection.
 func (s *session) serve(ctx context.Context) {
 	defer s.teardown()
-	if !s.startup(ctx) {
+	if !s.start(ctx) {
 		return
 	}
 	for {
@@ -83,17 +96,17 @@
 		if err == nil {
 			s.handle(ctx, st)
 		}
-		if s.flush() != nil || ctx.Err() != nil {
+		if s.flush() != nil || ctx.Err() != nil || s.ended {
 			return
 		}
 	}
 }
 
-// startup answers the startup message and reports whether the session continues.
-func (s *session) startup(ctx context.Context) bool {
+// start answers the startup message and reports whether the session continues.
+func (s *session) start(ctx context.Context) bool {
 	clk := s.deps().Clock
 	deadline := s.now() + s.server.cfg.StartupTimeout
-	db, err := s.wire.Startup(clk.Deadline(deadline))
+	st, err := s.wire.Startup(clk.Deadline(deadline))
 	var bad *statement.MessageError
 	if errors.As(err, &bad) {
 		s.wire.Error(bad.Code, bad.Reason)
@@ -104,30 +117,136 @@
 	if err != nil {
 		return false
 	}
-	s.database = db
-	r, known := s.deps().Route(db)
-	for !known && s.now() < deadline && clk.Sleep(ctx, configPollInterval) == nil {
-		r, known = s.deps().Route(db)
-	}
-	if r == nil {
-		s.refuseStartup(known)
+	s.database, s.startup = st.Database, st
+	r, refused := s.open(ctx, deadline)
+	if refused != nil {
+		s.refuseStartup(refused)
 		return false
 	}
 	if !s.forwarded {
-		s.home, s.nextHomeCheck = s.deps().Home(ctx, r.Group, db), s.now()+homeCheckInterval
+		s.home, s.nextHomeCheck = s.deps().Home(ctx, r.Group, s.database, s.workspace), s.now()+homeCheckInterval
 	}
 	s.wire.Ready(statement.Idle, position.Point{})
 	return s.flush() == nil
 }
 
-func (s *session) refuseStartup(known bool) {
-	code, text := statement.Busy, "no configuration yet, come back in 500 ms"
-	if known {
-		code, text = statement.NoDatabase, "no route leads to the database"
+// open finds the route and the workspace of the session. Until the deadline it waits for the first configuration and, in a forwarded
+// session, for the one by which the other daemon knows the workspace.
+func (s *session) open(ctx context.Context, deadline clock.Millis) (*topology.Route, *statement.Refusal) {
+	for {
+		r, known := s.deps().Route(s.database)
+		var refused *statement.Refusal
+		switch {
+		case !known:
+			refused = &statement.Refusal{Code: statement.Busy, Text: "no configuration yet, come back in 500 ms"}
+		case r == nil:
+			return nil, &statement.Refusal{Code: statement.NoDatabase, Text: "no route leads to the database"}
+		default:
+			refused = s.identify(r)
+		}
+		if refused == nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.started = true
+			return r, nil
+		}
+		if known && !s.forwarded || s.now() >= deadline || s.deps().Clock.Sleep(ctx, configPollInterval) != nil {
+			return nil, refused
+		}
 	}
-	s.wire.Error(code, text)
+}
+
+// identify looks up the workspace of the session for the route.
+func (s *session) identify(r *topology.Route) *statement.Refusal {
+	w, refused := s.deps().Identify(&s.startup, s.forwarded, r)
+	if refused == nil {
+		s.workspace = w
+	}
+	return refused
+}
+
+// workspaceID returns the workspace of the session; it is empty without one.
+func (s *session) workspaceID() workspace.ID {
+	if s.workspace == nil {
+		return ""
+	}
+	return s.workspace.ID
+}
+
+// checkAccess ends the session, or its transaction, if its key was taken away. It reports whether the statement may run.
+func (s *session) checkAccess(st *statement.Statement) bool {
+	r, _ := s.deps().Route(s.database)
+	if r == nil {
+		return true // handled as a statement without a route
+	}
+	refused := s.identify(r)
+	if refused == nil {
+		s.setRevoked(0)
+		return true
+	}
+	if s.tx == nil {
+		s.refuse(st, refused)
+		s.ended = refused.Code == statement.NoAuthority
+		return false
+	}
+	if since := s.setRevoked(s.now()); s.tx.failed || st.Verb == statement.Rollback || s.now() < since+revokedTransactionTime {
+		return true
+	}
+	s.abortTransaction()
+	if st.Verb == statement.Commit {
+		s.tx = nil
+	}
+	s.refuse(st, &statement.Refusal{Code: statement.Rejected, Text: "key is no longer valid, transaction is rolled back"})
+	return false
+}
+
+// setRevoked records that the session has had no access since now, or that it has access if now is 0. It returns since when it has
+// had none.
+func (s *session) setRevoked(now clock.Millis) clock.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now == 0 || s.revokedAt == 0 {
+		s.revokedAt = now
+	}
+	return s.revokedAt
+}
+
+// recheck ends the session if it is idle and its key was taken away, and records the time otherwise.
+func (s *session) recheck() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.started || s.forwarded {
+		return
+	}
+	r, _ := s.deps().Route(s.database)
+	if r == nil {
+		return
+	}
+	if _, refused := s.deps().Identify(&s.startup, s.forwarded, r); refused == nil || refused.Code != statement.NoAuthority {
+		return
+	}
+	if s.revokedAt == 0 {
+		s.revokedAt = s.now()
+	}
+	if s.idle {
+		_ = s.wire.Interrupt() // fails only if the connection is closed already
+	}
+}
+
+// refuse answers and reports a statement that is not run.
+func (s *session) refuse(st *statement.Statement, refused *statement.Refusal) {
+	now := s.now()
+	s.deps().Report(&Outcome{
+		Session: s.id, ID: st.ID, Database: s.database, Workspace: s.workspaceID(), Verb: st.Verb, Writes: st.Writes,
+		Code: refused.Code, Cause: refused.Text, Arrived: now, Finished: now,
+	})
+	s.fail(refused.Code, refused.Text)
+}
+
+func (s *session) refuseStartup(refused *statement.Refusal) {
+	s.wire.Error(refused.Code, refused.Text)
 	_ = s.flush() // the session ends anyway
-	s.deps().Report(&Outcome{Database: s.database, Code: code, Arrived: s.now(), Finished: s.now()})
+	s.deps().Report(&Outcome{Session: s.id, Database: s.database, Code: refused.Code, Cause: refused.Text, Arrived: s.now(), Finished: s.now()})
 }
 
 // receive waits for the caller's next statement.
@@ -152,7 +271,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.idle = idle
-	return !mustEnd
+	return !mustEnd && s.revokedAt == 0
 }
 
 // closeIfIdle ends the session if it is idle.
@@ -266,6 +385,9 @@
 			s.recordCommit(r.Group, st.Floor)
 		}
 	}
+	if !s.checkAccess(&st) {
+		return
+	}
 	s.updateHome(ctx)
 	switch {
 	case s.comesTooLate(st.Verb):
@@ -292,7 +414,7 @@
 	const cause = "daemon stops, transaction is rolled back"
 	now := s.now()
 	s.deps().Report(&Outcome{
-		Session: s.id, ID: st.ID, Database: s.database, Route: s.tx.route, Verb: st.Verb, Writes: st.Writes,
+		Session: s.id, ID: st.ID, Database: s.database, Workspace: s.workspaceID(), Route: s.tx.route, Verb: st.Verb, Writes: st.Writes,
 		Code: statement.Rejected, Cause: cause, Arrived: now, Finished: now,
 	})
 	s.abortTransaction()
--- a/internal/connection/relay/session_test.go
+++ b/internal/connection/relay/session_test.go
@@ -226,10 +226,10 @@
 
 func TestRefusedStartupIsReported(t *testing.T) {
 	b := newTestBed(t, topology.Strong)
-	b.session.wire.Startup = func(time.Time) (topology.Database, error) {
-		return "", &statement.MessageError{Code: statement.Malformed, Reason: "control character", Fatal: true}
+	b.session.wire.Startup = func(time.Time) (Startup, error) {
+		return Startup{}, &statement.MessageError{Code: statement.Malformed, Reason: "control character", Fatal: true}
 	}
-	if b.session.startup(t.Context()) {
+	if b.session.start(t.Context()) {
 		t.Error("got the session continued, want it ended")
 	}
 	if len(b.outcomes) != 1 || b.outcomes[0].Code != statement.Malformed || b.outcomes[0].Cause != "control character" {
--- a/internal/connection/relay/transaction.go
+++ b/internal/connection/relay/transaction.go
@@ -18,7 +18,7 @@
 	if s.tx.lease == nil {
 		e.asOf = s.tx.arrived
 		e.req.Need.PrimaryOnly = s.tx.begin.Verb == statement.Begin
-		e.runAttempts(ctx, e.attemptBegin)
+		e.runOperation(ctx, e.attemptBegin)
 		return
 	}
 	leave, err := s.tx.lease.AcquireSlot(ctx, &e.req)
--- a/internal/process/edge/acquire.go
+++ b/internal/process/edge/acquire.go
@@ -60,7 +60,7 @@
 		return nil, err
 	}
 	now := d.clk.Now()
-	conn, err := t.pool.Get(ctx, req.Values, min(req.Deadline, now+connectionTimeout))
+	conn, err := t.pool.Get(ctx, req.Workspace, req.Values, min(req.Deadline, now+connectionTimeout))
 	id := t.meta.Load().ID
 	switch {
 	case err == nil && t.candidate(false).Departed:
--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -305,7 +305,7 @@
 // runCommand runs one command at a target and returns the report in its reply.
 func (d *Daemon) runCommand(ctx context.Context, t *target, c link.Command) (link.Report, error) {
 	deadline := d.clk.Now() + probeTimeout
-	conn, err := t.pool.Get(ctx, &noSessionValues, deadline)
+	conn, err := t.pool.GetAny(ctx, deadline)
 	if err != nil {
 		return link.Report{}, fmt.Errorf("run command: %w", err)
 	}
--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -116,6 +116,8 @@
 	limitsPeers  *[]placement.Peer
 	limitsConfig *topology.Config
 	limitsStale  bool
+	// recheckSessions is true when the keys of the sessions have to be checked against a new configuration.
+	recheckSessions bool
 }
 
 func newControlLoop(d *Daemon) *controlLoop {
@@ -200,6 +202,10 @@
 		return
 	}
 	c.publishView(now)
+	if c.recheckSessions {
+		c.recheckSessions = false
+		c.d.server.Recheck()
+	}
 }
 
 // handleConfig applies a configuration that is newer than the present one.
@@ -212,6 +218,8 @@
 	}
 	c.d.log.Info("configuration applied", zap.Uint64("version", uint64(cfg.Version)), zap.Int("routes", len(cfg.Routes)))
 	c.config = cfg
+	c.d.logWorkspaces(cfg)
+	c.recheckSessions = cfg.Workspaces != nil
 }
 
 func (c *controlLoop) handleEntries(m *entriesUpdate, now clock.Millis) {
@@ -390,6 +398,11 @@
 		for _, t := range g.members {
 			t.pool.SetEarlyLimit(earlyLimit)
 			t.pool.SetServedElsewhere(servedElsewhere)
+			if c.config.Workspaces != nil {
+				t.pool.SetWorkspaceLimit(placement.ConnectionShare(connections, holders))
+			} else {
+				t.pool.SetWorkspaceLimit(0)
+			}
 			window := t.meta.Load().Slots
 			if homes > 0 {
 				window = placement.Window(window, homes)
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -79,6 +79,8 @@
 	view      atomic.Pointer[view]
 	// storeUp is true while the targets' entries can be read.
 	storeUp atomic.Bool
+	// configSyncedAt is when the configuration was last known to be the newest one, as clock.Millis; 0 before the first read.
+	configSyncedAt atomic.Int64
 	// entries is the follower of the targets' entries; nil until it starts.
 	entries  atomic.Pointer[follower]
 	draining atomic.Bool
@@ -161,6 +163,9 @@
 	return relay.Dependencies{
 		Clock:           d.clk,
 		Route:           d.route,
+		Identify:        d.identify,
+		Admit:           d.admit,
+		Refund:          d.refund,
 		TransactionIdle: d.transactionIdle,
 		Acquire:         d.acquire,
 		Sample:          d.sample,
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -123,6 +123,9 @@
 	}
 	f.syncedAt, f.gap = max(f.syncedAt, requestedAt-r.Age), false
 	f.cache.Apply(r, f.syncedAt)
+	if f.prefix == platform.ConfigPrefix {
+		f.d.configSyncedAt.Store(int64(f.syncedAt))
+	}
 	if r.Full || len(r.Objects) > 0 {
 		f.apply(ctx, u)
 	}
--- a/internal/process/edge/meter.go
+++ b/internal/process/edge/meter.go
@@ -63,11 +63,15 @@
 		d.count("statements-by-replica")
 	}
 	if e := d.log.Check(zap.InfoLevel, "statement"); e != nil {
+		ws := zap.Skip()
+		if o.Workspace != "" {
+			ws = zap.String("workspace", string(o.Workspace))
+		}
 		route := ""
 		if o.Route != nil {
 			route = o.Route.Name
 		}
-		e.Write(zap.Uint64("session", uint64(o.Session)), zap.String("request", string(o.ID)), zap.String("database", string(o.Database)), zap.String("route", route),
+		e.Write(zap.Uint64("session", uint64(o.Session)), zap.String("request", string(o.ID)), zap.String("database", string(o.Database)), ws, zap.String("route", route),
 			zap.Stringer("verb", o.Verb), zap.Bool("writes", o.Writes), zap.String("home", string(o.Home)), zap.String("target", string(o.Target)), zap.Bool("primary", o.Primary),
 			zap.Stringer("floor", o.Floor), zap.Int("attempts", o.Attempts), zap.String("cause", o.Cause),
 			zap.Stringer("outcome", o.Code), zap.Int64("arrived", int64(o.Arrived)), zap.Int64("took-ms", int64(took)))
--- a/internal/process/edge/peers.go
+++ b/internal/process/edge/peers.go
@@ -11,12 +11,14 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/connection/relay"
 	"github.com/cactusfork/cactusfork/internal/connection/socket"
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/platform"
 )
@@ -130,7 +132,7 @@
 }
 
 // connectHome opens a session at a home of the group: a daemon that serves the group for others in its data centre. It returns nil when this daemon has to serve the group itself, because it is a home or found none in time.
-func (d *Daemon) connectHome(ctx context.Context, g group.ID, db topology.Database) *relay.Home {
+func (d *Daemon) connectHome(ctx context.Context, g group.ID, db topology.Database, w *workspace.Workspace) *relay.Home {
 	v := d.view.Load()
 	if v.config == nil || d.set.Daemon.PeerAddress == "" {
 		return nil
@@ -143,8 +145,12 @@
 		if len(homes) == 0 || placement.Contains(homes, d.id) {
 			return nil
 		}
-		p := homes[rand.IntN(len(homes))]
-		h, err := d.dialHome(ctx, &p, db)
+		l := link.Login{Name: string(db)}
+		if w != nil {
+			l.Workspace, l.Version = w.ID, uint64(v.config.Version)
+		}
+		p := placement.HomeFor(homes, l.Workspace, rand.IntN)
+		h, err := d.dialHome(ctx, &p, l)
 		if err == nil {
 			return h
 		}
@@ -162,13 +168,13 @@
 	return nil
 }
 
-func (d *Daemon) dialHome(ctx context.Context, p *placement.Peer, db topology.Database) (*relay.Home, error) {
+func (d *Daemon) dialHome(ctx context.Context, p *placement.Peer, l link.Login) (*relay.Home, error) {
 	tcp, err := d.peerDialer.DialContext(ctx, "tcp", p.Address)
 	if err != nil {
 		return nil, err
 	}
 	w := platform.NewTarget(tcp)
-	r, err := w.Startup(group.ID(db), "", d.clk.Deadline(d.clk.Now()+homeStartupTimeout))
+	r, err := w.Startup(l, d.clk.Deadline(d.clk.Now()+homeStartupTimeout))
 	if err == nil && r.Code != statement.OK {
 		err = &statement.Refusal{Code: r.Code, Text: r.Text}
 	}
--- a/internal/process/edge/probe.go
+++ b/internal/process/edge/probe.go
@@ -19,9 +19,6 @@
 	probeInterval clock.Millis = 100
 )
 
-// noSessionValues are the values of a connection that serves no session.
-var noSessionValues link.Values
-
 // probeGroup asks all targets of a group whether they are the primary and which position they hold.
 func (d *Daemon) probeGroup(ctx context.Context, g *groupView) {
 	var wg sync.WaitGroup
@@ -48,7 +45,7 @@
 	id := t.meta.Load().ID
 	sentAt := d.clk.Now()
 	deadline := sentAt + probeTimeout
-	get := func() (*link.Conn, error) { return t.pool.Get(ctx, &noSessionValues, deadline) }
+	get := func() (*link.Conn, error) { return t.pool.GetAny(ctx, deadline) }
 	if newConn {
 		get = func() (*link.Conn, error) { return t.pool.Open(ctx, deadline) }
 	}
--- a/internal/request/placement/home.go
+++ b/internal/request/placement/home.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 )
 
 const (
@@ -77,6 +78,30 @@
 	return connections / initialConnectionsDivisor / max(daemons, 1)
 }
 
+// controlConnections is the number of connections to each target that ConnectionShare leaves for probes and changes of primary.
+const controlConnections = 2
+
+// ConnectionShare returns how many connections to each target one of the daemons may hold while connections belong to workspaces and
+// idle ones are kept. The shares of all holders together leave controlConnections free.
+func ConnectionShare(connections, holders int) int {
+	return max(minDirectConnections, (connections-controlConnections)/max(holders, 1))
+}
+
+// HomeFor returns the home that serves the sessions of a workspace. The same workspace goes to the same home, so that fewer
+// connections to targets have to be opened for other workspaces; a workspace without a name goes to the home that pick selects.
+func HomeFor(homes []Peer, w workspace.ID, pick func(n int) int) Peer {
+	if w == "" {
+		return homes[pick(len(homes))]
+	}
+	best, bestRank := 0, uint64(0)
+	for i := range homes {
+		if r := rank(group.ID(w), homes[i].ID); r >= bestRank {
+			best, bestRank = i, r
+		}
+	}
+	return homes[best]
+}
+
 // rank returns the rendezvous hash of a daemon for a group: the order of the daemons differs between groups and is the same on every daemon.
 func rank(g group.ID, d group.DaemonID) uint64 {
 	return xxhash.Sum64String(string(g) + "\x00" + string(d))
--- a/internal/version/topology/config.go
+++ b/internal/version/topology/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
@@ -38,6 +39,8 @@
 	LatencyObjective clock.Millis
 	// Priority is the priority class; 0 is the most urgent.
 	Priority int
+	// Public is true for a route that callers without a known key may use.
+	Public bool
 }
 
 // Group is the configuration of one group of targets.
@@ -54,6 +57,10 @@
 	Version Version
 	Routes  map[Database]*Route
 	Groups  map[group.ID]Group
+	// Workspaces holds the workspaces and their keys; nil if the configuration has none, and every caller may use every route.
+	Workspaces *workspace.Directory
+	// Rejected holds the errors of the parts that are left out.
+	Rejected []error
 	// TransactionIdleTimeout is how long a transaction may be idle before it may be ended; 0 means no limit.
 	TransactionIdleTimeout clock.Millis
 }
