admission: have workspaces take turns at a target

Cause: waiting items were ordered by due time alone, so a workspace that sends many times its usual took the slots of all others. Change: of the items of one weight and kind, those of the workspace whose turn is earliest run first; the expected wait of an item counts the others only up to its own turn, and a full queue gives up an item of the workspace that holds most of it. Items without a workspace are ordered as before.

--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -158,7 +158,7 @@
 		expired := q.Expire(now)
 		for _, c := range slices.Backward(q.classes) {
 			if !c.noneInTime() {
-				i := c.popInTime()
+				i := c.popInTime(&fairness{})
 				q.adjustCount(i.Kind, -1)
 				return i, expired, true
 			}
--- a/internal/request/admission/class.go
+++ b/internal/request/admission/class.go
@@ -38,6 +38,9 @@
 
 // ahead returns the number of entries that run before e.
 func (h entryHeap) ahead(e entry) int {
+	if e.Workspace != "" {
+		return h.aheadFairly(e)
+	}
 	n := 0
 	for i := range h {
 		if h[i].before(e) {
@@ -60,8 +63,12 @@
 	return last
 }
 
-// lastIndex returns the index of the least urgent entry, or -1 if the heap is empty.
+// lastIndex returns the index of the entry that makes room for another one, or -1 if the heap is empty: the least urgent, where
+// workspaces wait that of the one with most entries.
 func (h entryHeap) lastIndex() int {
+	if len(h) > 0 && h[0].Workspace != "" {
+		return h.displaced()
+	}
 	index := -1
 	for i := range h {
 		if index < 0 || h[index].before(h[i]) {
@@ -129,11 +136,15 @@
 }
 
 // popInTime removes and returns the next item that can start in time. Two reads never run in a row while a write waits.
-func (c *class) popInTime() Item {
+func (c *class) popInTime(f *fairness) Item {
 	kind := Write
 	if len(c.writes) == 0 || c.readNext && len(c.reads) > 0 {
 		kind = Read
 	}
 	c.readNext = kind == Write
-	return c.heapOf(kind).removeAt(0)
+	h := c.heapOf(kind)
+	if (*h)[0].Workspace == "" {
+		return h.removeAt(0)
+	}
+	return h.removeAt(f.next(*h))
 }
--- a/internal/request/admission/gate.go
+++ b/internal/request/admission/gate.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/cactusfork/cactusfork/internal/request/refusal"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
@@ -15,6 +16,8 @@
 	// Weight is the importance of the request; a heavier one runs first.
 	Weight int
 	Kind   Kind
+	// Workspace is the workspace of the request; it is empty without one.
+	Workspace workspace.ID
 	// StartBy is the latest start at which the request keeps its full value; 0 means that it is never late.
 	StartBy clock.Millis
 	// Deadline is the time from which the request is no longer worth running; 0 means never.
@@ -83,7 +86,7 @@
 func (g *Gate) tryAcquire(now clock.Millis, req Request) (ID, chan error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	i := Item{Weight: req.Weight, Kind: req.Kind, StartBy: req.StartBy, Deadline: req.Deadline}
+	i := Item{Weight: req.Weight, Kind: req.Kind, Workspace: req.Workspace, StartBy: req.StartBy, Deadline: req.Deadline}
 	if g.busy < g.slots && g.queue.Len() == 0 && !i.expired(now) {
 		g.acquireSlot(req.Kind)
 		return 0, nil
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"slices"
 
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
@@ -35,6 +36,8 @@
 type Item struct {
 	ID     ID
 	Weight int
+	// Workspace is the workspace of the request. Those of one weight and kind take turns; it is empty without workspaces.
+	Workspace workspace.ID
 	// StartBy is the latest start at which the request keeps its full value. A later item runs only if no item waits that is still in time.
 	// 0 means that the item is never late.
 	StartBy clock.Millis
@@ -53,6 +56,7 @@
 	writes   int
 	seq      uint64
 	rate     departureRate
+	fair     fairness
 	// lateRanAt is the last time at which a late item ran or no late item waited.
 	lateRanAt clock.Millis
 }
@@ -158,8 +162,11 @@
 		}
 	}
 	c.skipped = 0
-	next = c.popInTime()
+	next = c.popInTime(&q.fair)
 	q.adjustCount(next.Kind, -1)
+	if next.Workspace != "" {
+		q.fair.record(next.Workspace, q.Len() > 0)
+	}
 	q.rate.observe(now, q.Len() > 0)
 	return next, expired, true
 }
