link: keep connections for the workspaces that use a target most

Change: when the pool is full, the idle connection of the workspace with the least recent demand gives way; homes in a target's data centre get half of its connections; sessions of routes that only the primary serves go to the homes in the primary's data centre; placement adds the time of opening a connection to the cost of a target where no connection of the workspace is idle. Nothing changes without workspaces.

--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -45,6 +46,8 @@
 	// minEarlyLimit is the least number of connections that the early limit allows: one for a transaction and one for all other
 	// statements.
 	minEarlyLimit = 2
+	// openTimeWeight is the weight of a new value in the average time of opening a connection.
+	openTimeWeight = 0.1
 	// drainTimeout bounds the wait for outstanding replies that no caller waits for.
 	drainTimeout = 5 * clock.Second
 )
@@ -77,8 +80,12 @@
 	mu sync.Mutex
 	// limit is the number of connections that may be open.
 	limit int
-	// keepIdle is true while idle connections beyond the recent peak are kept, because they belong to different workspaces.
-	keepIdle bool
+	// byWorkspace is true while connections belong to workspaces. Idle ones beyond the recent peak are then kept.
+	byWorkspace bool
+	// demand tells which workspaces use the target most.
+	demand demand
+	// openTime is the moving average of the time that it takes to open a connection, in milliseconds.
+	openTime float64
 	// earlyLimit is the number of connections that may be open until EarlyLimitUntil.
 	earlyLimit int
 	// servedElsewhere is true while other daemons serve the target's group for this one.
@@ -102,7 +109,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(cfg PoolConfig) *Pool {
-	return &Pool{cfg: cfg, limit: cfg.Maximum, earlyLimit: minEarlyLimit}
+	return &Pool{cfg: cfg, limit: cfg.Maximum, earlyLimit: minEarlyLimit, demand: make(demand)}
 }
 
 // SetWorkspaceLimit sets the number of connections that may be open while connections belong to workspaces, and that idle ones are
@@ -110,7 +117,7 @@
 func (p *Pool) SetWorkspaceLimit(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit, p.keepIdle = p.cfg.Maximum, n > 0
+	p.limit, p.byWorkspace = p.cfg.Maximum, n > 0
 	if n > 0 {
 		p.limit = min(n, p.cfg.Maximum)
 	}
@@ -219,6 +226,9 @@
 	if p.closed {
 		return nil, nil, ErrClosed
 	}
+	if p.byWorkspace && ws != anyWorkspace {
+		p.demand.record(ws, p.cfg.Clock.Now())
+	}
 	for i := p.bestIdle(ws, v); i >= 0; i = p.bestIdle(ws, v) {
 		c := p.idle[i]
 		p.idle = append(p.idle[:i], p.idle[i+1:]...)
@@ -230,9 +240,9 @@
 		p.open--
 	}
 	if p.open >= p.maximum() && !p.opening && len(p.idle) > 0 {
-		// The idle connections belong to other workspaces. The one that was used last is the most likely to be used again.
-		p.idle[0].Break()
-		p.idle = p.idle[1:]
+		i := p.demand.leastUseful(p.idle, p.cfg.Clock.Now())
+		p.idle[i].Break()
+		p.idle = append(p.idle[:i], p.idle[i+1:]...)
 		p.open--
 	}
 	if p.open >= p.maximum() || p.opening || p.cfg.Clock.Now() < p.fullUntil {
@@ -281,12 +291,14 @@
 	if ws == anyWorkspace {
 		ws = ""
 	}
+	startedAt := p.cfg.Clock.Now()
 	c, err := p.connect(ctx, ws, deadline)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err == nil {
+		p.openTime += openTimeWeight * (float64(p.cfg.Clock.Now()-startedAt) - p.openTime)
 		return c, nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.open--
 	if errors.Is(err, ErrFull) {
 		p.fullUntil = p.cfg.Clock.Now() + fullBackoff
@@ -368,7 +380,8 @@
 		return
 	}
 	surplus := p.open - max(p.peak, p.lastPeak) - spareConns
-	if p.keepIdle {
+	if p.byWorkspace {
+		p.demand.forget(p.cfg.Clock.Now())
 		surplus = 0
 	}
 	p.filterIdle(func(c *Conn) bool {
@@ -412,6 +425,17 @@
 	p.notifyWaiters()
 }
 
+// OpenCost returns how long a statement of the workspace would wait for a connection to be opened, in milliseconds; 0 if an idle one
+// exists or connections do not belong to workspaces.
+func (p *Pool) OpenCost(ws workspace.ID) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.byWorkspace || slices.ContainsFunc(p.idle, func(c *Conn) bool { return c.workspace == ws }) {
+		return 0
+	}
+	return p.openTime
+}
+
 // OpenConns returns the number of connections that are open or being opened.
 func (p *Pool) OpenConns() int {
 	p.mu.Lock()
--- a/internal/connection/relay/forward_test.go
+++ b/internal/connection/relay/forward_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
-	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
 	"github.com/cactusfork/cactusfork/internal/version/workspace"
 )
@@ -115,7 +114,7 @@
 func TestForwardedSessionIsNotForwardedAgain(t *testing.T) {
 	b := newTestBed(t, topology.Bounded)
 	homeCalls := 0
-	b.session.server.deps.Home = func(context.Context, group.ID, topology.Database, *workspace.Workspace) *Home {
+	b.session.server.deps.Home = func(context.Context, *topology.Route, *workspace.Workspace) *Home {
 		homeCalls++
 		return nil
 	}
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -103,11 +103,11 @@
 	TargetReplied func(g group.ID, t group.TargetID, r *link.Reply, latency clock.Millis)
 	// ConnFailed records the failure of a connection to a target; sentAt is when the command that failed was sent.
 	ConnFailed func(g group.ID, t group.TargetID, sentAt clock.Millis, err error)
-	// Home opens a session of the workspace at the home daemon of the group. It returns nil if this daemon serves the group or no
-	// other is available.
-	Home func(ctx context.Context, g group.ID, d topology.Database, w *workspace.Workspace) *Home
-	// Serves reports whether daemon d should serve the sessions of the group that arrive at this daemon; "" is this daemon.
-	Serves func(g group.ID, d group.DaemonID) bool
+	// Home opens a session of the workspace at the home daemon of the route. It returns nil if this daemon serves the route or no other
+	// is available.
+	Home func(ctx context.Context, r *topology.Route, w *workspace.Workspace) *Home
+	// Serves reports whether daemon d should serve the sessions of the route that arrive at this daemon; "" is this daemon.
+	Serves func(r *topology.Route, d group.DaemonID) bool
 	// HomeReplied records a reply of the home daemon to a statement that arrived at the given time. The argument refused is
 	// true if the statement was not run.
 	HomeReplied func(g group.ID, arrived clock.Millis, refused bool)
--- a/internal/connection/relay/seek.go
+++ b/internal/connection/relay/seek.go
@@ -42,16 +42,16 @@
 	if s.home != nil {
 		current = s.home.ID
 	}
-	if s.deps().Serves(r.Group, current) {
+	if s.deps().Serves(r, current) {
 		return
 	}
-	h := s.deps().Home(ctx, r.Group, s.database, s.workspace)
+	h := s.deps().Home(ctx, r, s.workspace)
 	if h != nil && s.replaySetup(h) != nil {
 		_ = h.Wire.Close() // the connection is not used again
 		s.deps().HomeFailed(h.ID)
 		return
 	}
-	if h == nil && !s.deps().Serves(r.Group, "") {
+	if h == nil && !s.deps().Serves(r, "") {
 		return // no daemon is available that should serve the session
 	}
 	if s.home != nil {
--- a/internal/connection/relay/session.go
+++ b/internal/connection/relay/session.go
@@ -124,7 +124,7 @@
 		return false
 	}
 	if !s.forwarded {
-		s.home, s.nextHomeCheck = s.deps().Home(ctx, r.Group, s.database, s.workspace), s.now()+homeCheckInterval
+		s.home, s.nextHomeCheck = s.deps().Home(ctx, r, s.workspace), s.now()+homeCheckInterval
 	}
 	s.wire.Ready(statement.Idle, position.Point{})
 	return s.flush() == nil
--- a/internal/process/edge/acquire.go
+++ b/internal/process/edge/acquire.go
@@ -33,7 +33,7 @@
 			return nil, &statement.Refusal{Code: statement.Busy, Text: "group has no targets, come back in 500 ms"}
 		}
 		now := d.clk.Now()
-		i, reason := placement.Choose(d.samples.candidates(g, req.Need.Floor, now), now, req.Need)
+		i, reason := placement.Choose(d.samples.candidates(g, req.Workspace, req.Need.Floor, now), now, req.Need)
 		if reason == placement.AllTried {
 			return nil, &statement.Refusal{Code: statement.Lagging, Text: "no target serves the statement now, come back in 100 ms"}
 		}
--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -399,7 +399,12 @@
 			t.pool.SetEarlyLimit(earlyLimit)
 			t.pool.SetServedElsewhere(servedElsewhere)
 			if c.config.Workspaces != nil {
-				t.pool.SetWorkspaceLimit(placement.ConnectionShare(connections, holders))
+				local := t.meta.Load().DataCentre
+				locals := len(placement.Homes(id, peers, local, connections))
+				if homes == 0 {
+					locals = 0 // every daemon serves the group
+				}
+				t.pool.SetWorkspaceLimit(placement.ConnectionShare(connections, local == dataCentre, locals, holders-locals))
 			} else {
 				t.pool.SetWorkspaceLimit(0)
 			}
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -173,7 +173,7 @@
 		TargetReplied:   d.handleReply,
 		ConnFailed:      d.handleFailure,
 		Home:            d.connectHome,
-		Serves:          d.servesGroup,
+		Serves:          d.servesRoute,
 		HomeFailed:      d.handleHomeClosed,
 		HomeReplied:     d.recordHomeReply,
 		Report:          d.reportStatement,
--- a/internal/process/edge/peers.go
+++ b/internal/process/edge/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -108,13 +109,46 @@
 	p.backoffUntil[id] = until
 }
 
-// servesGroup reports whether the daemon at may serve the group for this one; "" is this one. While this daemon is isolated, every daemon may, so that sessions stay where they are.
-func (d *Daemon) servesGroup(g group.ID, at group.DaemonID) bool {
+// homes returns the daemons that serve the route for this one. It is empty if every daemon serves the group itself.
+//
+// Where connections belong to workspaces, sessions of a route that only the primary serves go to the homes in the primary's data centre:
+// there the connections of all data centres are shared. The bytes between data centres are the same as for a home in this one.
+func (d *Daemon) homes(v *view, r *topology.Route) []placement.Peer {
+	peers, connections := d.peers.available(d.clk.Now()), v.config.Groups[r.Group].MaxConnections
+	homes := placement.Homes(r.Group, peers, group.DataCentre(d.set.Daemon.DataCentre), connections)
+	if len(homes) == 0 || v.config.Workspaces == nil || r.Consistency != topology.Strong {
+		return homes
+	}
+	if g := v.groups[r.Group]; g != nil {
+		if primary := g.target(g.primary); primary != nil && primary.outageSince() == 0 {
+			// While the best homes there do not answer, the others there may not either: the data centre may be cut off.
+			remote := placement.Homes(r.Group, *d.peers.list.Load(), primary.meta.Load().DataCentre, connections)
+			remote = slices.DeleteFunc(remote, func(p placement.Peer) bool { return !placement.Contains(peers, p.ID) })
+			if len(remote) > 0 {
+				return remote
+			}
+		}
+	}
+	return homes
+}
+
+// servesGroup reports whether this daemon serves the group for its data centre.
+func (d *Daemon) servesGroup(g group.ID) bool {
 	v := d.view.Load()
 	if v.config == nil || d.set.Daemon.PeerAddress == "" || d.isolated.Load() {
 		return true
 	}
 	homes := placement.Homes(g, d.peers.available(d.clk.Now()), group.DataCentre(d.set.Daemon.DataCentre), v.config.Groups[g].MaxConnections)
+	return len(homes) == 0 || placement.Contains(homes, d.id)
+}
+
+// servesRoute reports whether the daemon at may serve the route for this one; "" is this one. While this daemon is isolated, every daemon may, so that sessions stay where they are.
+func (d *Daemon) servesRoute(r *topology.Route, at group.DaemonID) bool {
+	v := d.view.Load()
+	if v.config == nil || d.set.Daemon.PeerAddress == "" || d.isolated.Load() {
+		return true
+	}
+	homes := d.homes(v, r)
 	if at == "" {
 		return len(homes) == 0 || placement.Contains(homes, d.id)
 	}
@@ -131,8 +165,8 @@
 	return nil
 }
 
-// connectHome opens a session at a home of the group: a daemon that serves the group for others in its data centre. It returns nil when this daemon has to serve the group itself, because it is a home or found none in time.
-func (d *Daemon) connectHome(ctx context.Context, g group.ID, db topology.Database, w *workspace.Workspace) *relay.Home {
+// connectHome opens a session at a home of the route: a daemon that serves the group for others. It returns nil when this daemon has to serve the group itself, because it is a home or found none in time.
+func (d *Daemon) connectHome(ctx context.Context, r *topology.Route, w *workspace.Workspace) *relay.Home {
 	v := d.view.Load()
 	if v.config == nil || d.set.Daemon.PeerAddress == "" {
 		return nil
@@ -141,11 +175,11 @@
 		return nil
 	}
 	for deadline := d.clk.Now() + homeSearchTimeout; d.clk.Now() < deadline; {
-		homes := placement.Homes(g, d.peers.available(d.clk.Now()), group.DataCentre(d.set.Daemon.DataCentre), v.config.Groups[g].MaxConnections)
+		homes := d.homes(v, r)
 		if len(homes) == 0 || placement.Contains(homes, d.id) {
 			return nil
 		}
-		l := link.Login{Name: string(db)}
+		l := link.Login{Name: string(r.Database)}
 		if w != nil {
 			l.Workspace, l.Version = w.ID, uint64(v.config.Version)
 		}
@@ -154,7 +188,7 @@
 		if err == nil {
 			return h
 		}
-		d.log.Warn("home did not accept session", zap.String("home", string(p.ID)), zap.String("group", string(g)), zap.Error(err))
+		d.log.Warn("home did not accept session", zap.String("home", string(p.ID)), zap.String("group", string(r.Group)), zap.Error(err))
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/internal/process/edge/quorum.go
+++ b/internal/process/edge/quorum.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		for id, g := range v.groups {
-			if n := v.config.Groups[id].SyncReplicas; n > 0 && d.servesGroup(id, "") {
+			if n := v.config.Groups[id].SyncReplicas; n > 0 && d.servesGroup(id) {
 				k.check(ctx, g, n)
 			}
 		}
--- a/internal/process/edge/samples.go
+++ b/internal/process/edge/samples.go
@@ -8,6 +8,7 @@
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
@@ -61,9 +62,10 @@
 	return placement.Sample{}, e.done, start
 }
 
-// candidates returns the group's targets with how long each is expected to lag behind the floor of a read.
-func (s *sampler) candidates(g *groupView, floor position.Point, now clock.Millis) []placement.Candidate {
-	list := g.candidates()
+// candidates returns the group's targets for a statement of a workspace, with how long each is expected to lag behind the floor of a
+// read.
+func (s *sampler) candidates(g *groupView, ws workspace.ID, floor position.Point, now clock.Millis) []placement.Candidate {
+	list := g.candidates(ws)
 	if floor == (position.Point{}) {
 		return list
 	}
--- a/internal/process/edge/view.go
+++ b/internal/process/edge/view.go
@@ -4,6 +4,7 @@
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
 
@@ -44,10 +45,14 @@
 	return g.outageSince()
 }
 
-func (g *groupView) candidates() []placement.Candidate {
+// candidates returns the state of the targets for the placement of a statement of the workspace.
+func (g *groupView) candidates(ws workspace.ID) []placement.Candidate {
 	list := make([]placement.Candidate, len(g.targets))
 	for i, t := range g.targets {
 		list[i] = t.candidate(t.meta.Load().ID == g.primary)
+		if ws != "" {
+			list[i].OpenCost = t.pool.OpenCost(ws)
+		}
 	}
 	return list
 }
--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -42,6 +42,8 @@
 	Point position.Point
 	// PointAt is the time of that report.
 	PointAt clock.Millis
+	// OpenCost is how long the statement would wait for a new connection to the target, in milliseconds; 0 if a connection is idle.
+	OpenCost float64
 	// ExpectedLag is how long the target is expected to stay below the floor, in milliseconds.
 	ExpectedLag clock.Millis
 }
@@ -117,7 +119,7 @@
 
 // estimateCost returns the estimated duration of the statement at the target in milliseconds, plus the cost to other statements.
 func estimateCost(c *Candidate, now clock.Millis, n *Need) float64 {
-	cost := c.Latency * (1 + float64(c.Load)/float64(max(c.Slots, 1)))
+	cost := c.Latency*(1+float64(c.Load)/float64(max(c.Slots, 1))) + c.OpenCost
 	if c.Primary && !n.PreferPrimary && !n.PrimaryOnly {
 		cost *= primaryFactor
 	}
--- a/internal/request/placement/home.go
+++ b/internal/request/placement/home.go
@@ -78,13 +78,28 @@
 	return connections / initialConnectionsDivisor / max(daemons, 1)
 }
 
-// controlConnections is the number of connections to each target that ConnectionShare leaves for probes and changes of primary.
-const controlConnections = 2
+const (
+	// controlConnections is the number of connections to each target that ConnectionShare leaves for probes and changes of primary.
+	controlConnections = 2
+	// localShareDivisor divides a target's connections to get the part of the homes in the target's own data centre. They send it the
+	// reads of their data centre and, if it is the primary, what only the primary can serve.
+	localShareDivisor = 2
+)
 
-// ConnectionShare returns how many connections to each target one of the daemons may hold while connections belong to workspaces and
-// idle ones are kept. The shares of all holders together leave controlConnections free.
-func ConnectionShare(connections, holders int) int {
-	return max(minDirectConnections, (connections-controlConnections)/max(holders, 1))
+// ConnectionShare returns how many connections to a target a home may hold while connections belong to workspaces and idle ones are
+// kept. It is local if it is in the target's data centre; locals and remotes are the numbers of homes there and elsewhere. All shares
+// together leave controlConnections free, unless there are more homes than connections.
+func ConnectionShare(connections int, local bool, locals, remotes int) int {
+	available := connections - controlConnections
+	share := available / max(locals+remotes, 1)
+	switch {
+	case locals == 0 || remotes == 0:
+	case local:
+		share = available / localShareDivisor / locals
+	default:
+		share = (available - available/localShareDivisor) / remotes
+	}
+	return max(1, share)
 }
 
 // HomeFor returns the home that serves the sessions of a workspace. The same workspace goes to the same home, so that fewer
