placement: let statements wait again when the store is back

Cause: no primary is replaced while the store is away, and behind 2 s of outage every statement was refused at once. Change: the outage counts from the store's return.

--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -77,8 +77,10 @@
 	samples   *sampler
 	server    *relay.Server
 	view      atomic.Pointer[view]
-	// storeUp is true while the targets' entries can be read.
-	storeUp atomic.Bool
+	// storeUp is true while the targets' entries can be read. storeSince is the time since which they can, as clock.Millis; 0 while they
+	// cannot.
+	storeUp    atomic.Bool
+	storeSince atomic.Int64
 	// configSyncedAt is when the configuration was last known to be the newest one, as clock.Millis; 0 before the first read.
 	configSyncedAt atomic.Int64
 	// entries is the follower of the targets' entries; nil until it starts.
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -266,6 +266,11 @@
 		return
 	}
 	d.storeUp.Store(up)
+	since := clock.Millis(0)
+	if up {
+		since = d.clk.Now()
+	}
+	d.storeSince.Store(int64(since))
 	d.control.send(ctx, storeState{up: up})
 }
 
--- a/internal/request/placement/choose_test.go
+++ b/internal/request/placement/choose_test.go
@@ -98,16 +98,19 @@
 
 func TestHopeless(t *testing.T) {
 	tests := []struct {
-		name       string
-		since, now clock.Millis
-		want       bool
+		name                   string
+		since, storeSince, now clock.Millis
+		want                   bool
 	}{
-		{"no outage", 0, 10_000, false},
-		{"outage within the usual failover time", 9_000, 10_000, false},
-		{"outage longer than the usual failover time", 7_000, 10_000, true},
+		{"no outage", 0, 1_000, 10_000, false},
+		{"outage within the usual failover time", 9_000, 1_000, 10_000, false},
+		{"outage longer than the usual failover time", 7_000, 1_000, 10_000, true},
+		{"outage as long while the store is away", 7_000, 0, 10_000, true},
+		{"store back for less than the usual failover time", 7_000, 9_000, 10_000, false},
+		{"store back for longer", 2_000, 7_000, 10_000, true},
 	}
 	for _, tt := range tests {
-		if got := ShouldFailFast(tt.since, tt.now); got != tt.want {
+		if got := ShouldFailFast(tt.since, tt.storeSince, tt.now); got != tt.want {
 			t.Errorf("%s: got %t, want %t", tt.name, got, tt.want)
 		}
 	}
--- a/internal/request/placement/outage.go
+++ b/internal/request/placement/outage.go
@@ -27,4 +27,9 @@
 
 // ShouldFailFast reports whether a group has been without a primary since the given time for longer than a failover usually takes.
 // Work for it is then refused at once, which lets the caller try another daemon. A since of 0 means that the group has a primary.
-func ShouldFailFast(since, now clock.Millis) bool { return since > 0 && now-since > maxFailoverTime }
+//
+// No primary is replaced while the store is away, so a failover begins anew at its return: storeSince, which is 0 while it is away.
+// Callers that are refused then have used up their retries within a fraction of the time that the failover still takes.
+func ShouldFailFast(since, storeSince, now clock.Millis) bool {
+	return since > 0 && now-max(since, storeSince) > maxFailoverTime
+}
