--- /dev/null
+++ b/internal/process/edge/workspace_test.go
@@ -0,0 +1,194 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/platform/standin"
+)
+
+// configWithKeys returns a configuration whose workspaces have the keys given as WORKSPACE:KEY. Targets accept few connections, so that
+// homes serve the group.
+func configWithKeys(version int, keys ...string) map[string]any {
+	c := testConfigWithConnections(version, false, 11)
+	byWorkspace := map[string][]string{}
+	for _, k := range keys {
+		w, key, _ := strings.Cut(k, ":")
+		byWorkspace[w] = append(byWorkspace[w], key)
+	}
+	var list []any
+	for w, k := range byWorkspace {
+		list = append(list, map[string]any{"Name": w, "ApiKeys": k, "RatePerS": 1000.0, "Burst": 1000.0})
+	}
+	c["Tenants"] = list
+	return c
+}
+
+// users returns how many statements of callers have arrived at the group's targets, by user.
+func (e *testEnv) users() map[string]int {
+	all := map[string]int{}
+	for _, t := range e.group.Targets {
+		for user, n := range t.Users() {
+			all[user] += n
+		}
+	}
+	return all
+}
+
+// connectWithKey opens a session and returns the reply to a refused startup.
+func (d *daemon) connectWithKey(database, key string) (*client, string) {
+	session, reply := standin.ConnectWithKey(d.t.Context(), d.set.Daemon.CallerAddress, database, key, testTimeout)
+	if session == nil {
+		return nil, reply
+	}
+	d.t.Cleanup(session.Close)
+	return &client{session: session}, reply
+}
+
+// Guards against statements that targets are told to be of another workspace, and against keys that reach a target, also through a home.
+func TestTargetsAreToldTheWorkspace(t *testing.T) {
+	env := newTestEnv(t)
+	env.store.Set("config", "main", configWithKeys(3, "alpha:key-a", "beta:key-b"))
+	var daemons []*daemon
+	for i := range 4 {
+		daemons = append(daemons, env.start(fmt.Sprint("d", i)))
+	}
+	for _, d := range daemons {
+		env.eventually("daemon knows the others", func() bool { return len(*d.peers.list.Load()) == len(daemons) })
+	}
+	for i, d := range daemons {
+		for _, key := range []string{"key-a", "key-b"} {
+			c, reply := d.connectWithKey("entries", key)
+			if c == nil {
+				t.Fatalf("daemon %d, %s: got %q, want a session", i, key, reply)
+			}
+			if got := c.query("WRITE x 1"); !strings.Contains(got, "COMPLETE") {
+				t.Errorf("daemon %d, %s: got %q, want success", i, key, got)
+			}
+		}
+		for _, key := range []string{"key-c", "alpha", "cactusfork"} {
+			if c, reply := d.connectWithKey("entries", key); c != nil || !strings.HasPrefix(reply, "ERROR NOAUTH") {
+				t.Errorf("daemon %d, %s: got %q, want NOAUTH", i, key, reply)
+			}
+		}
+	}
+	got := env.users()
+	if len(got) != 2 || got["alpha"] != len(daemons) || got["beta"] != len(daemons) {
+		t.Errorf("got statements by user %v, want %d each of alpha and beta", got, len(daemons))
+	}
+}
+
+// Guards against a key that was taken away and still begins statements, in sessions that are idle or forwarded, and against a transaction
+// that is cut off at once.
+func TestRevokedKeyEndsSessions(t *testing.T) {
+	env := newTestEnv(t)
+	env.store.Set("config", "main", configWithKeys(3, "alpha:key-a", "alpha:key-a2", "beta:key-b"))
+	var daemons []*daemon
+	for i := range 4 {
+		daemons = append(daemons, env.start(fmt.Sprint("d", i)))
+	}
+	for _, d := range daemons {
+		env.eventually("daemon knows the others", func() bool { return len(*d.peers.list.Load()) == len(daemons) })
+	}
+	open := func(d *daemon, key string) *client {
+		c, reply := d.connectWithKey("entries", key)
+		if c == nil {
+			t.Fatalf("%s: got %q, want a session", key, reply)
+		}
+		return c
+	}
+	type sessions struct{ idle, inTransaction, other *client }
+	all := make([]sessions, len(daemons))
+	for i, d := range daemons {
+		all[i] = sessions{open(d, "key-a"), open(d, "key-a"), open(d, "key-a2")}
+		all[i].inTransaction.query("BEGIN")
+		if got := all[i].inTransaction.query("WRITE x 1"); !strings.Contains(got, "COMPLETE") {
+			t.Fatalf("got %q, want a write in a transaction", got)
+		}
+	}
+	env.store.Set("config", "main", configWithKeys(4, "alpha:key-a2", "beta:key-b"))
+	for _, d := range daemons {
+		env.eventually("configuration is applied", func() bool { return d.view.Load().config.Version == 4 })
+	}
+	for i, d := range daemons {
+		if got := all[i].inTransaction.query("COMMIT"); !strings.Contains(got, "COMPLETE") {
+			t.Errorf("daemon %d: got %q for the commit of an open transaction, want success", i, got)
+		}
+		for name, c := range map[string]*client{"idle": all[i].idle, "transaction ended": all[i].inTransaction} {
+			if got := c.session.Query("WRITE y 1"); !strings.Contains(got, "NOAUTH") && !strings.Contains(got, standin.Broken) {
+				t.Errorf("daemon %d, %s: got %q under a revoked key, want it refused", i, name, got)
+			}
+		}
+		if got := all[i].other.query("WRITE z 1"); !strings.Contains(got, "COMPLETE") {
+			t.Errorf("daemon %d: got %q under another key of the workspace, want success", i, got)
+		}
+		if c, reply := d.connectWithKey("entries", "key-a"); c != nil || !strings.HasPrefix(reply, "ERROR NOAUTH") {
+			t.Errorf("daemon %d: got %q for a new session under a revoked key, want NOAUTH", i, reply)
+		}
+	}
+}
+
+// Guards against NOAUTH from a daemon that cannot know the newest configuration: a caller then gives up for good, though its key may have
+// been added.
+func TestUnknownKeyWhileTheStoreIsAway(t *testing.T) {
+	env := newTestEnv(t)
+	env.store.Set("config", "main", configWithKeys(3, "alpha:key-a"))
+	d := env.start("d")
+	d.configSyncedAt.Store(int64(d.clk.Now() - d.set.Platform.ConfigApply))
+	env.store.SetFault(func(*http.Request) standin.Fault { return standin.Fault{Status: http.StatusServiceUnavailable} })
+	env.eventually("daemon refuses a key that it does not know as not run", func() bool {
+		_, reply := d.connectWithKey("entries", "key-new")
+		return strings.HasPrefix(reply, "ERROR BUSY")
+	})
+	if c, reply := d.connectWithKey("entries", "key-a"); c == nil {
+		t.Errorf("got %q for a known key, want a session", reply)
+	}
+}
+
+// Guards against sessions of routes that only the primary serves, which stay at a home in another data centre than the primary's.
+func TestStrongRoutesGoToHomesAtThePrimary(t *testing.T) {
+	env := newTestEnv(t)
+	env.store.Set("config", "main", configWithKeys(3, "alpha:key-a"))
+	var daemons []*daemon
+	for i := range 4 {
+		daemons = append(daemons, env.start(fmt.Sprint("d", i)))
+	}
+	d := daemons[0]
+	env.eventually("daemon knows the others", func() bool { return len(*d.peers.list.Load()) == len(daemons) })
+	v := d.view.Load()
+	primary := v.groups["g"].target(v.groups["g"].primary)
+	there := primary.meta.Load().DataCentre
+	list := *d.peers.list.Load()
+	for i := range list {
+		if i < 2 {
+			list[i].DataCentre = there
+		} else {
+			list[i].DataCentre = "elsewhere"
+		}
+	}
+	d.set.Daemon.DataCentre = "elsewhere"
+	for consistency, want := range map[topology.Consistency]group.DataCentre{topology.Strong: there, topology.Bounded: "elsewhere"} {
+		homes := d.homes(v, &topology.Route{Group: "g", Consistency: consistency})
+		for _, h := range homes {
+			if h.DataCentre != want {
+				t.Errorf("consistency %d: got a home in %s, want %s", consistency, h.DataCentre, want)
+			}
+		}
+		if len(homes) == 0 {
+			t.Errorf("consistency %d: got no homes", consistency)
+		}
+	}
+	for _, h := range d.homes(v, &topology.Route{Group: "g", Consistency: topology.Strong}) {
+		d.peers.backOff(h.ID, d.clk.Now()+clock.Second)
+	}
+	for _, h := range d.homes(v, &topology.Route{Group: "g", Consistency: topology.Strong}) {
+		if h.DataCentre != "elsewhere" {
+			t.Errorf("got a home in %s while those at the primary do not answer, want one in the own data centre", h.DataCentre)
+		}
+	}
+}
