--- a/internal/connection/relay/workspace_test.go
+++ b/internal/connection/relay/workspace_test.go
@@ -23,7 +23,9 @@
 	a = &access{workspace: &workspace.Workspace{ID: "w"}}
 	admitted, refunded = new(int), new(int)
 	d := &b.session.server.deps
-	d.Identify = func(*Startup, bool, *topology.Route) (*workspace.Workspace, *statement.Refusal) { return a.workspace, a.refused }
+	d.Identify = func(*Startup, bool, *topology.Route) (*workspace.Workspace, *statement.Refusal) {
+		return a.workspace, a.refused
+	}
 	d.Admit = func(context.Context, *workspace.Workspace, clock.Millis) error { *admitted++; return nil }
 	d.Refund = func(*workspace.Workspace) { *refunded++ }
 	return a, admitted, refunded
--- a/internal/process/edge/workspace_test.go
+++ b/internal/process/edge/workspace_test.go
@@ -41,8 +41,8 @@
 }
 
 // connectWithKey opens a session and returns the reply to a refused startup.
-func (d *daemon) connectWithKey(database, key string) (*client, string) {
-	session, reply := standin.ConnectWithKey(d.t.Context(), d.set.Daemon.CallerAddress, database, key, testTimeout)
+func (d *daemon) connectWithKey(key string) (*client, string) {
+	session, reply := standin.ConnectWithKey(d.t.Context(), d.set.Daemon.CallerAddress, "entries", key, testTimeout)
 	if session == nil {
 		return nil, reply
 	}
@@ -63,7 +63,7 @@
 	}
 	for i, d := range daemons {
 		for _, key := range []string{"key-a", "key-b"} {
-			c, reply := d.connectWithKey("entries", key)
+			c, reply := d.connectWithKey(key)
 			if c == nil {
 				t.Fatalf("daemon %d, %s: got %q, want a session", i, key, reply)
 			}
@@ -72,7 +72,7 @@
 			}
 		}
 		for _, key := range []string{"key-c", "alpha", "cactusfork"} {
-			if c, reply := d.connectWithKey("entries", key); c != nil || !strings.HasPrefix(reply, "ERROR NOAUTH") {
+			if c, reply := d.connectWithKey(key); c != nil || !strings.HasPrefix(reply, "ERROR NOAUTH") {
 				t.Errorf("daemon %d, %s: got %q, want NOAUTH", i, key, reply)
 			}
 		}
@@ -96,7 +96,7 @@
 		env.eventually("daemon knows the others", func() bool { return len(*d.peers.list.Load()) == len(daemons) })
 	}
 	open := func(d *daemon, key string) *client {
-		c, reply := d.connectWithKey("entries", key)
+		c, reply := d.connectWithKey(key)
 		if c == nil {
 			t.Fatalf("%s: got %q, want a session", key, reply)
 		}
@@ -127,7 +127,7 @@
 		if got := all[i].other.query("WRITE z 1"); !strings.Contains(got, "COMPLETE") {
 			t.Errorf("daemon %d: got %q under another key of the workspace, want success", i, got)
 		}
-		if c, reply := d.connectWithKey("entries", "key-a"); c != nil || !strings.HasPrefix(reply, "ERROR NOAUTH") {
+		if c, reply := d.connectWithKey("key-a"); c != nil || !strings.HasPrefix(reply, "ERROR NOAUTH") {
 			t.Errorf("daemon %d: got %q for a new session under a revoked key, want NOAUTH", i, reply)
 		}
 	}
@@ -142,10 +142,10 @@
 	d.configSyncedAt.Store(int64(d.clk.Now() - d.set.Platform.ConfigApply))
 	env.store.SetFault(func(*http.Request) standin.Fault { return standin.Fault{Status: http.StatusServiceUnavailable} })
 	env.eventually("daemon refuses a key that it does not know as not run", func() bool {
-		_, reply := d.connectWithKey("entries", "key-new")
+		_, reply := d.connectWithKey("key-new")
 		return strings.HasPrefix(reply, "ERROR BUSY")
 	})
-	if c, reply := d.connectWithKey("entries", "key-a"); c == nil {
+	if c, reply := d.connectWithKey("key-a"); c == nil {
 		t.Errorf("got %q for a known key, want a session", reply)
 	}
 }
