quota: take tokens over the mirror address and admit operations by them

Operations of a workspace run within its limit over all daemons. The client batches asks, one request at a time for each issuer; refund needs the time at which an operation arrived, as its token may have expired.

--- a/internal/connection/relay/harness_test.go
+++ b/internal/connection/relay/harness_test.go
@@ -215,7 +215,7 @@
 		ConnFailed:      func(_ group.ID, _ group.TargetID, _ clock.Millis, err error) { b.lost = append(b.lost, err) },
 		Identify:        func(*Startup, bool, *topology.Route) (*workspace.Workspace, *statement.Refusal) { return nil, nil },
 		Admit:           func(context.Context, *workspace.Workspace, clock.Millis) error { return nil },
-		Refund:          func(*workspace.Workspace) {},
+		Refund:          func(*workspace.Workspace, clock.Millis) {},
 		Home:            func(context.Context, group.ID, topology.Database, *workspace.Workspace) *Home { return nil },
 		Serves:          func(group.ID, group.DaemonID) bool { return true },
 		HomeReplied:     func(_ group.ID, _ clock.Millis, refused bool) { b.homeRefusals = append(b.homeRefusals, refused) },
--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -102,7 +102,7 @@
 	}
 	e.runAttempts(ctx, attempt)
 	if w != nil && e.outcome.Code.NotRun() {
-		e.s.deps().Refund(w)
+		e.s.deps().Refund(w, e.asOf)
 	}
 }
 
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -88,9 +88,9 @@
 	// none. The refusal is nil if the session may use the route.
 	Identify func(s *Startup, forwarded bool, r *topology.Route) (*workspace.Workspace, *statement.Refusal)
 	// Admit takes one operation out of the limit of the workspace. Its error is a *statement.Refusal or the error of ctx. Refund gives
-	// back an operation that was not run.
+	// back an operation that was not run and arrived at the given time.
 	Admit  func(ctx context.Context, w *workspace.Workspace, deadline clock.Millis) error
-	Refund func(w *workspace.Workspace)
+	Refund func(w *workspace.Workspace, arrived clock.Millis)
 	// TransactionIdle returns how long a transaction may be idle; 0 means no limit.
 	TransactionIdle func() clock.Millis
 	// Acquire waits for a target, a slot and a connection. Its error is a *statement.Refusal or the error of ctx.
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/cactusfork/cactusfork/internal/connection/socket"
 	"github.com/cactusfork/cactusfork/internal/process/mirror"
 	store "github.com/cactusfork/cactusfork/internal/process/platform"
+	"github.com/cactusfork/cactusfork/internal/process/quota"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/promotion"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
@@ -93,6 +94,7 @@
 	// mirrors reads store objects from other daemons. caches holds what this daemon has read of the store, by key prefix.
 	mirrors *mirror.Client
 	caches  map[store.Key]*mirror.Cache
+	quota   *quotas
 
 	// startedAt is when Run began.
 	startedAt clock.Millis
@@ -130,6 +132,7 @@
 	d.store = d.dialStore("own", set.configWatchTimeout(), false)
 	d.promote = platform.Promoter(d.storeConfig(set.Platform.DutyAddress, 0), d.id)
 	d.control = newControlLoop(d)
+	d.quota = newQuotas(d)
 	d.view.Store(&view{})
 	d.server = relay.New(relay.Config{
 		MaxSessions:    max(1, set.Limits.Descriptors-reservedDescriptors),
@@ -289,6 +292,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(mirror.Handler(d.clk, d.caches))
+	mux.Handle(quota.Handler(d.quota.issuer))
 	go d.serveHTTP(ctx, l, mux)
 	return nil
 }
@@ -299,6 +303,7 @@
 	d.graceEnd.Store(int64(now + grace))
 	d.server.SetStop(relay.Stop{TransactionsUntil: now + grace/2, AnswerBy: now + grace - answerMargin})
 	d.draining.Store(true)
+	d.quota.issuer.Stop()
 	d.log.Info("daemon draining", zap.Int("sessions", d.server.Len()))
 	if d.set.Daemon.PeerAddress != "" {
 		go d.registerLeaving(ctx)
--- a/internal/process/edge/meter.go
+++ b/internal/process/edge/meter.go
@@ -104,6 +104,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", d.writeMetrics)
+	mux.HandleFunc("GET /workspaces", d.writeWorkspaces)
 	d.serveHTTP(ctx, l, mux)
 }
 
--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -14,6 +14,7 @@
 	Platform PlatformSettings
 	Limits   LimitSettings
 	Failover FailoverSettings
+	Quota    QuotaSettings
 	Log      LogSettings
 }
 
@@ -58,6 +59,12 @@
 	Missing  clock.Millis `ini:"missing" default:"800ms" min:"50ms" max:"1m"`
 }
 
+// QuotaSettings are about the limits of workspaces.
+type QuotaSettings struct {
+	// Window is the time over which a limit has to hold. An issuer that was not asked for as long starts anew.
+	Window clock.Millis `ini:"window" default:"5s" min:"1s" max:"1m"`
+}
+
 // LogSettings select the level of the log.
 type LogSettings struct {
 	Level string `ini:"level" default:"info" oneof:"debug info warn error"`
--- a/internal/process/edge/workspace.go
+++ b/internal/process/edge/workspace.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"context"
-
 	"go.uber.org/zap"
 
 	"github.com/cactusfork/cactusfork/internal/connection/relay"
@@ -43,12 +41,6 @@
 	return d.clk.Now()-clock.Millis(d.configSyncedAt.Load()) < d.set.Platform.ConfigApply
 }
 
-// admit takes one operation out of the limit of a workspace.
-func (d *Daemon) admit(_ context.Context, _ *workspace.Workspace, _ clock.Millis) error { return nil }
-
-// refund gives back an operation that was not run.
-func (d *Daemon) refund(_ *workspace.Workspace) {}
-
 // logWorkspaces logs what a configuration says of workspaces and the parts of it that are left out.
 func (d *Daemon) logWorkspaces(cfg *topology.Config) {
 	for _, err := range cfg.Rejected {
--- a/internal/request/quota/quota_test.go
+++ b/internal/request/quota/quota_test.go
@@ -232,7 +232,9 @@
 	}{
 		{"silent", func(s *Stock, now clock.Millis, n *Target) { s.Silent(now, w, n) }, []string{"d-0-0", "d-0-1", "b", "none"}},
 		{"exhausted", func(s *Stock, now clock.Millis, n *Target) { s.Answer(now, now, w, n, 1, Grant{RetryAfter: 300}) }, []string{"d-0-0", "b", "none"}},
-		{"not ready", func(s *Stock, now clock.Millis, n *Target) { s.Answer(now, now, w, n, 1, Grant{NotReady: true, RetryAfter: SilentBackoff}) }, []string{"d-0-0", "d-0-1", "d-0-2", "d-0-3", "force d-0-0", "force d-0-1", "b", "force b", "none"}},
+		{"not ready", func(s *Stock, now clock.Millis, n *Target) {
+			s.Answer(now, now, w, n, 1, Grant{NotReady: true, RetryAfter: SilentBackoff})
+		}, []string{"d-0-0", "d-0-1", "d-0-2", "d-0-3", "force d-0-0", "force d-0-1", "b", "force b", "none"}},
 		{"ready", func(s *Stock, now clock.Millis, n *Target) { s.Answer(now, now, w, n, 1, Grant{Tokens: 1}) }, []string{"d-0-0", "d-0-0"}},
 	}
 	for _, tt := range tests {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -108,6 +108,7 @@
 		"{{Bounds.DrainMs}}", "7000", "{{Bootstrap}}", fmt.Sprint(first), "{{Bounds.GraceS}}", "6",
 		"{{platform.Address}}", f.store.address(), "{{CloudApi.Address}}", f.duty.l.Addr().String(),
 		"{{Bounds.ConfigApplyMs}}", "3000", "{{Limits.MemoryMb}}", "284", "{{Limits.MaxFds}}", "4300",
+		"{{#Bounds.QuotaWindowS}}\n", "", "{{Bounds.QuotaWindowS}}", "5", "{{/Bounds.QuotaWindowS}}\n", "",
 	).Replace(f.template)
 	if strings.Contains(text, "{{") {
 		return fmt.Errorf("a placeholder of the template is not known here: %s", text)
