--- a/internal/process/quota/client.go
+++ b/internal/process/quota/client.go
@@ -145,23 +145,28 @@
 	if len(f.waiting) == 0 && c.stock.Use(now, w) {
 		c.cfg.Count("quota-granted")
 		if !f.asking && c.stock.Low(now, w) {
-			f.asking = true
-			go c.round(ctx, f)
+			c.startRound(ctx, now, f)
 		}
 		return nil, nil
 	}
-	if !f.asking {
-		if _, ok := c.stock.Next(now, w, f.issuers); !ok {
-			return nil, c.refuse(now, f)
-		}
-		f.asking, f.asked = true, nil
-		go c.round(ctx, f)
+	if !f.asking && !c.startRound(ctx, now, f) {
+		return nil, c.refuse(now, f)
 	}
 	own := &waiter{done: make(chan error, 1)}
 	f.waiting = append(f.waiting, own)
 	return own, nil
 }
 
+// startRound starts a round of asks, and reports whether there is an issuer to ask.
+func (c *Client) startRound(ctx context.Context, now clock.Millis, f *flow) bool {
+	if _, ok := c.stock.Next(now, f.w, f.issuers); !ok {
+		return false
+	}
+	f.asking, f.asked = true, nil
+	go c.round(ctx, f)
+	return true
+}
+
 // abandon ends the wait of an operation whose time is over. A token that it got meanwhile is used, unless ctx has ended.
 func (c *Client) abandon(id workspace.ID, own *waiter, ctxErr error) error {
 	c.mu.Lock()
@@ -264,7 +269,8 @@
 		c.endRound(f)
 		return false
 	}
-	f.asked = append(f.asked, t.Peer.ID)
+	// A round lasts as long as operations wait, and a log line names the last issuers.
+	f.asked = append(f.asked[max(0, len(f.asked)+1-quota.MaxParts):], t.Peer.ID)
 	own := &call{f: f, target: t, done: make(chan struct{})}
 	c.mu.Unlock()
 	c.ask(ctx, own)
--- a/internal/process/quota/quota_test.go
+++ b/internal/process/quota/quota_test.go
@@ -112,6 +112,10 @@
 	if got, err = sender()(t.Context(), address, asks[:1]); err != nil || got[0].Tokens != 1 {
 		t.Errorf("got %+v, %v by force, want a token", got, err)
 	}
+	asks[0].Workspace = workspace.ID(strings.Repeat("x", maxNameBytes+1))
+	if got, err = sender()(t.Context(), address, asks[:1]); err != nil || got[0].Tokens != 0 || got[0].RetryAfter != quota.DefaultWindow {
+		t.Errorf("got %+v, %v for a long name, want no token", got, err)
+	}
 	if _, err := sender()(t.Context(), address, make([]quota.Ask, maxAsks+1)); err == nil || !strings.Contains(err.Error(), errTooManyAsks.Error()) {
 		t.Errorf("got %v, want %v", err, errTooManyAsks)
 	}
--- a/internal/process/quota/serve.go
+++ b/internal/process/quota/serve.go
@@ -19,7 +19,9 @@
 )
 
 const (
-	// maxMessageBytes bounds a message: maxAsks asks with names of up to 1 KiB.
+	// maxNameBytes bounds the name of a workspace, and with it the memory of an issuer. Usual names have tens of bytes.
+	maxNameBytes = 1 << 10
+	// maxMessageBytes bounds a message: maxAsks asks with the longest names.
 	maxMessageBytes = 512 << 10
 	// idleTimeout is how long an unused connection to an issuer is kept. Daemons with steady demand ask every 400 ms.
 	idleTimeout = 10 * time.Second
@@ -80,6 +82,10 @@
 	}
 	res := &quotav1.TakeResponse{Grants: make([]*quotav1.Grant, len(asks))}
 	for i, a := range asks {
+		if len(a.GetWorkspace()) > maxNameBytes {
+			res.Grants[i] = &quotav1.Grant{RetryAfterMs: int64(quota.DefaultWindow)}
+			continue
+		}
 		g := s.issuer.Take(quota.Ask{
 			Workspace: workspace.ID(a.GetWorkspace()), Tokens: int(a.GetTokens()), Version: a.GetVersion(), Parts: int(a.GetParts()), Force: a.GetForce(),
 			Limit: workspace.Limit{PerSecond: a.GetPerSecond(), Burst: a.GetBurst()},
