--- a/internal/connection/relay/workspace_test.go
+++ b/internal/connection/relay/workspace_test.go
@@ -27,7 +27,7 @@
 		return a.workspace, a.refused
 	}
 	d.Admit = func(context.Context, *workspace.Workspace, clock.Millis) error { *admitted++; return nil }
-	d.Refund = func(*workspace.Workspace) { *refunded++ }
+	d.Refund = func(*workspace.Workspace, clock.Millis) { *refunded++ }
 	return a, admitted, refunded
 }
 
--- a/internal/request/placement/home.go
+++ b/internal/request/placement/home.go
@@ -83,7 +83,7 @@
 	controlConnections = 2
 	// localShareDivisor divides a target's connections to get the part of the homes in the target's own data centre. They send it the
 	// reads of their data centre and, if it is the primary, what only the primary can serve.
-	localShareDivisor = 2
+	localShareDivisor = 3
 )
 
 // ConnectionShare returns how many connections to a target a home may hold while connections belong to workspaces and idle ones are
