--- a/internal/process/edge/quota_test.go
+++ b/internal/process/edge/quota_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/cactusfork/cactusfork/internal/process/quota"
@@ -64,8 +65,11 @@
 	a, b := env.start("front-1"), env.start("front-2")
 	env.eventually("the daemons know each other", func() bool { return len(*a.peers.list.Load()) == 2 && len(*b.peers.list.Load()) == 2 })
 	ca, cb := a.connect("entries"), b.connect("entries")
-	env.eventually("both serve", func() bool {
-		return standin.Completed(ca.query("WRITE a 1")) && standin.Completed(cb.query("WRITE a 2"))
+	asks := func() int64 {
+		return metrics.GetOrRegisterCounter("quota-asks", a.meter.registry).Count() + metrics.GetOrRegisterCounter("quota-asks", b.meter.registry).Count()
+	}
+	env.eventually("one grants tokens to the other, and both serve", func() bool {
+		return standin.Completed(ca.query("WRITE a 1")) && standin.Completed(cb.query("WRITE a 2")) && asks() > 0
 	})
 	lines := 0
 	for _, d := range []*daemon{a, b} {
@@ -75,7 +79,7 @@
 			lines++
 		}
 	}
-	// Both may have granted: each did while it knew only itself.
+	// Both may have granted: each does while it knows only itself.
 	if lines == 0 {
 		t.Errorf("got no line of the workspace on the pages of both daemons, want one")
 	}
