quota: grant half of the tolerance that a deployment states

Change: settings overage-percent and slack, 0 by default; issuers grant half of them and a smaller burst, the rest is kept for faults.

--- a/internal/process/edge/quota.go
+++ b/internal/process/edge/quota.go
@@ -35,7 +35,9 @@
 }
 
 func newQuotas(d *Daemon) *quotas {
-	q := &quotas{issuer: quota.NewIssuer(d.clk, d.set.Quota.Window)}
+	q := &quotas{issuer: quota.NewIssuer(d.clk, d.set.Quota.Window, issuing.Tolerance{
+		Overage: float64(d.set.Quota.OveragePercent) / 100, Slack: float64(d.set.Quota.Slack),
+	})}
 	q.client = quota.NewClient(quota.Config{
 		Self: d.id, DataCentre: group.DataCentre(d.set.Daemon.DataCentre), Clock: d.clk, Issuer: q.issuer, View: d.quotaView,
 		Send: quota.Sender(socket.Dialer(peerLimits).DialContext), Count: d.count, Report: d.logQuotaRefusal,
--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -63,6 +63,10 @@
 type QuotaSettings struct {
 	// Window is the time over which a limit has to hold. An issuer that was not asked for as long starts anew.
 	Window clock.Millis `ini:"window" default:"5s" min:"1s" max:"1m"`
+	// OveragePercent and Slack are the tolerance of the limits: a window may have so many operations more, in percent and in number.
+	// Issuers grant half of it.
+	OveragePercent int `ini:"overage-percent" default:"0" min:"0" max:"50"`
+	Slack          int `ini:"slack" default:"0" min:"0" max:"1000"`
 }
 
 // LogSettings select the level of the log.
--- a/internal/process/quota/serve.go
+++ b/internal/process/quota/serve.go
@@ -40,8 +40,8 @@
 }
 
 // NewIssuer returns the issuer of a daemon that starts now.
-func NewIssuer(clk *clock.Clock, window clock.Millis) *Issuer {
-	return &Issuer{clk: clk, issuer: quota.NewIssuer(clk.Now(), window)}
+func NewIssuer(clk *clock.Clock, window clock.Millis, t quota.Tolerance) *Issuer {
+	return &Issuer{clk: clk, issuer: quota.NewIssuer(clk.Now(), window, t)}
 }
 
 // Take grants tokens.
--- a/internal/request/quota/issuer.go
+++ b/internal/request/quota/issuer.go
@@ -55,8 +55,9 @@
 
 // Issuer holds one part of the limit of each workspace. It is not safe for concurrent use.
 type Issuer struct {
-	window  clock.Millis
-	readyAt clock.Millis
+	window    clock.Millis
+	tolerance Tolerance
+	readyAt   clock.Millis
 	// stopping is true once the daemon drains.
 	stopping bool
 	buckets  map[workspace.ID]*bucket
@@ -66,7 +67,8 @@
 // bucket is one part of the limit of a workspace.
 type bucket struct {
 	version uint64
-	limit   workspace.Limit
+	// configured is the limit of the configuration, and limit the one that is granted.
+	configured, limit workspace.Limit
 	// parts is the largest number of parts that was asked for within the last window; partsAt is when it was asked for.
 	parts    int
 	partsAt  clock.Millis
@@ -80,12 +82,30 @@
 	granted, grantedBefore int
 }
 
+// Tolerance is by how much the operations of a window may exceed rate x window + burst: by the share Overage of that, and by Slack
+// operations. Issuers grant half of it, which serves callers that are within it, and keep the rest for faults.
+type Tolerance struct {
+	Overage, Slack float64
+}
+
+// apply returns the limit that issuers grant in place of l. The tokens of a window and of the time for which tokens before it are
+// valid then use half of the tolerance; the burst gives up what a smaller one costs no caller whose demand lasts.
+func (t Tolerance) apply(l workspace.Limit, window clock.Millis) workspace.Limit {
+	if l.PerSecond <= 0 {
+		return l
+	}
+	return workspace.Limit{
+		PerSecond: l.PerSecond*(1+t.Overage/2) + t.Slack/2*float64(clock.Second)/float64(window),
+		Burst:     l.Burst * max(0, 1-2*t.Overage),
+	}
+}
+
 // NewIssuer returns an issuer of a daemon that started at the given time.
-func NewIssuer(startedAt, window clock.Millis) *Issuer {
+func NewIssuer(startedAt, window clock.Millis, t Tolerance) *Issuer {
 	if window <= 0 {
 		window = DefaultWindow
 	}
-	return &Issuer{window: window, readyAt: startedAt + ReadyDelay, buckets: make(map[workspace.ID]*bucket)}
+	return &Issuer{window: window, tolerance: t, readyAt: startedAt + ReadyDelay, buckets: make(map[workspace.ID]*bucket)}
 }
 
 // Stop has the issuer answer that it is not ready, because its daemon drains.
@@ -107,7 +127,8 @@
 		return g
 	}
 	b.fill(now, i.window)
-	b.adopt(now, i.window, &a)
+	limit := i.tolerance.apply(workspace.Limit{PerSecond: finite(a.Limit.PerSecond), Burst: finite(a.Limit.Burst)}, i.window)
+	b.adopt(now, i.window, &a, limit)
 	b.askedAt = now
 	g.Tokens = max(0, min(a.Tokens, int(min(b.level, math.MaxInt32))))
 	b.level -= float64(g.Tokens)
@@ -172,11 +193,10 @@
 	}
 }
 
-// adopt takes over the limit of an ask with a newer version, and the number of parts.
-func (b *bucket) adopt(now, window clock.Millis, a *Ask) {
+// adopt takes over the limit l of an ask with a newer version, and the number of parts.
+func (b *bucket) adopt(now, window clock.Millis, a *Ask, l workspace.Limit) {
 	if a.Version > b.version || b.parts == 0 {
-		b.version = a.Version
-		b.limit = workspace.Limit{PerSecond: finite(a.Limit.PerSecond), Burst: finite(a.Limit.Burst)}
+		b.version, b.configured, b.limit = a.Version, a.Limit, l
 	}
 	// Requesters that know fewer data centres may have an older list of daemons.
 	if parts := max(1, a.Parts); parts >= b.parts || now >= b.partsAt+window {
@@ -241,7 +261,7 @@
 		if b.grantedBefore > 0 {
 			since -= i.window
 		}
-		s := Status{Workspace: id, Version: b.version, Limit: b.limit, Parts: b.parts, PerSecond: b.rate()}
+		s := Status{Workspace: id, Version: b.version, Limit: b.configured, Parts: b.parts, PerSecond: b.rate()}
 		s.Used = float64(granted) * float64(clock.Second) / float64(max(now-since, i.window))
 		list = append(list, s)
 	}
