--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -36,6 +36,12 @@
 	BackoffUntil clock.Millis
 	// Load is the number of this daemon's statements that run or wait at the target.
 	Load int
+	// MeanLoad is the mean number of this daemon's statements at the target in the last moments.
+	MeanLoad float64
+	// Choosers is the number of daemons that choose among the targets of the group, this one included; 0 if it is not known.
+	Choosers int
+	// SlowStart is when the target gets less work than others because it has just returned.
+	SlowStart SlowStart
 	// Latency is the usual duration of a statement at the target, in milliseconds.
 	Latency float64
 	// Point is the last point that the target reported.
@@ -78,11 +84,18 @@
 
 // Choose returns the index of the cheapest suitable target, or -1 and the reason why there is none.
 func Choose(list []Candidate, now clock.Millis, n Need) (int, Reason) {
+	return choose(list, now, &n, 0, func(c *Candidate) float64 { return estimateCost(c, now, &n) })
+}
+
+// choose returns the index of the suitable target with the lowest cost, or -1 and the reason why there is none. Among equals, it
+// takes the one that comes first in the list from index first on.
+func choose(list []Candidate, now clock.Millis, n *Need, first int, cost func(c *Candidate) float64) (int, Reason) {
 	best, bestCost, reason := -1, 0.0, NoTarget
 	if n.PrimaryOnly {
 		reason = NoPrimary
 	}
-	for i := range list {
+	for k := range list {
+		i := (first + k) % len(list)
 		c := &list[i]
 		switch {
 		case n.PrimaryOnly && !c.Primary, c.Departed:
@@ -96,7 +109,7 @@
 			}
 			continue
 		}
-		if cost := estimateCost(c, now, &n); best < 0 || cost < bestCost {
+		if cost := cost(c); best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
@@ -124,6 +137,12 @@
 	if c.DataCentre != n.DataCentre {
 		cost += remoteCost
 	}
+	return cost + fixedCost(c, now, n)
+}
+
+// fixedCost returns the cost of the statement at the target that depends neither on the load nor on the data centre, in milliseconds.
+func fixedCost(c *Candidate, now clock.Millis, n *Need) float64 {
+	cost := 0.0
 	if !c.Primary && (c.ExpectedLag > 0 || c.Point.Before(n.Floor) && now-c.PointAt <= pointMaxAge) {
 		cost += lagCost + float64(c.ExpectedLag)
 	}
