--- a/internal/process/edge/acquire.go
+++ b/internal/process/edge/acquire.go
@@ -33,7 +33,7 @@
 			return nil, &statement.Refusal{Code: statement.Busy, Text: "group has no targets, come back in 500 ms"}
 		}
 		now := d.clk.Now()
-		i, reason := placement.Choose(d.samples.candidates(g, req.Need.Floor, now), now, req.Need)
+		i, reason := d.chooseTarget(g, req.Need, now)
 		if reason == placement.AllTried {
 			return nil, &statement.Refusal{Code: statement.Lagging, Text: "no target serves the statement now, come back in 100 ms"}
 		}
@@ -55,7 +55,7 @@
 
 // lease takes a slot and a connection at t. It returns neither a lease nor an error when another target has to be selected.
 func (d *Daemon) lease(ctx context.Context, g *groupView, t *target, req *relay.LeaseRequest) (*relay.Lease, error) {
-	release, err := t.acquireSlot(ctx, req)
+	release, err := t.acquireMeasuredSlot(ctx, req, !req.Need.PrimaryOnly)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -403,6 +403,7 @@
 			} else {
 				t.pool.SetWorkspaceLimit(0)
 			}
+			t.setChoosers(holders)
 			window := t.meta.Load().Slots
 			if homes > 0 {
 				window = placement.Window(window, homes)
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -125,6 +125,7 @@
 		claims:       make(map[group.ID]observedClaim),
 	}
 	d.eras.OnRestore = d.handleRestore
+	d.Gauge("placement-imbalance", d.imbalance)
 	d.gaugeStoreCalls("store-calls", &d.calls)
 	d.Gauge("store-era", func() int64 { return int64(d.eras.Newest()) })
 	d.store = d.dialStore("own", set.configWatchTimeout(), false)
@@ -210,7 +211,9 @@
 		Protocol:        platform.NewTarget, StartupTimeout: targetStartupTimeout,
 		OnOpen: func() { d.count("target-connections-opened") },
 	})
-	return newTarget(m, pool, d.clk, d.set.Daemon.Drain-drainMargin)
+	t := newTarget(m, pool, d.clk, d.set.Daemon.Drain-drainMargin)
+	t.startNew(d.startedAt)
+	return t
 }
 
 // Run serves callers until ctx ends, then drains and stops. It fails when it cannot listen or accept.
--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -10,11 +10,12 @@
 
 // Settings are the checked settings of a daemon on the operator's platform.
 type Settings struct {
-	Daemon   DaemonSettings
-	Platform PlatformSettings
-	Limits   LimitSettings
-	Failover FailoverSettings
-	Log      LogSettings
+	Daemon    DaemonSettings
+	Platform  PlatformSettings
+	Limits    LimitSettings
+	Failover  FailoverSettings
+	Placement PlacementSettings
+	Log       LogSettings
 }
 
 // DaemonSettings are the identity, the addresses and the shutdown times of a daemon.
@@ -58,6 +59,12 @@
 	Missing  clock.Millis `ini:"missing" default:"800ms" min:"50ms" max:"1m"`
 }
 
+// PlacementSettings select how targets are chosen.
+type PlacementSettings struct {
+	// Balance is "even" for targets chosen by their expected load (placement.ChooseEven) and "off" for the cheapest one (placement.Choose).
+	Balance string `ini:"balance" default:"off" oneof:"off even"`
+}
+
 // LogSettings select the level of the log.
 type LogSettings struct {
 	Level string `ini:"level" default:"info" oneof:"debug info warn error"`
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -68,6 +68,12 @@
 	leavingSince clock.Millis
 	// drainLimit is how long after leavingSince the target may get work.
 	drainLimit clock.Millis
+	// usage measures this daemon's statements at the target, and choosers is how many daemons choose among the targets of the group.
+	usage    placement.Usage
+	choosers int
+	// slowStart is the slow start after the last outage. held is true from its start until its end has been noticed.
+	slowStart placement.SlowStart
+	held      bool
 }
 
 func newTarget(m *topology.Target, pool *link.Pool, clk *clock.Clock, drainLimit clock.Millis) *target {
@@ -83,11 +89,13 @@
 	now := t.clk.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	mean, _ := t.usage.Mean(now)
 	return placement.Candidate{
 		ID: m.ID, DataCentre: m.DataCentre, Slots: m.Slots, Primary: primary,
 		Leaving: t.leaving, Departed: t.leaving && now-t.leavingSince > t.drainLimit,
 		Failing: t.failingSince > 0, BackoffUntil: t.backoffUntil, Load: load.Total(),
 		Latency: t.decayedLatency(now), Point: t.point, PointAt: t.pointAt,
+		MeanLoad: mean, Choosers: t.choosers, SlowStart: t.slowStart,
 	}
 }
 
@@ -107,6 +115,9 @@
 	now := t.clk.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.failingSince > 0 {
+		t.startSlowly(now, now-t.failingSince)
+	}
 	t.repliedAt, t.failingSince, t.refusing, t.backoff, t.backoffUntil = now, 0, false, 0, 0
 	if took > 0 && r.Completed {
 		t.latency += latencyWeight * (float64(took) - t.latency)
@@ -163,8 +174,27 @@
 	t.backoffUntil = max(t.backoffUntil, t.clk.Now()+d)
 }
 
-// acquireSlot waits for one of the target's slots that this daemon may use, and returns the function that releases it.
+// acquireSlot waits for one of the target's slots that this daemon may use, and returns the function that releases it. The statement is
+// bound to the target.
 func (t *target) acquireSlot(ctx context.Context, req *relay.LeaseRequest) (func(), error) {
+	return t.acquireMeasuredSlot(ctx, req, false)
+}
+
+// acquireMeasuredSlot is acquireSlot for a statement that is movable if another target could serve it.
+func (t *target) acquireMeasuredSlot(ctx context.Context, req *relay.LeaseRequest, movable bool) (func(), error) {
+	t.useStarts(movable)
+	release, err := t.waitForSlot(ctx, req)
+	if err != nil {
+		t.useEnds(movable)
+		return nil, err
+	}
+	return sync.OnceFunc(func() {
+		release()
+		t.useEnds(movable)
+	}), nil
+}
+
+func (t *target) waitForSlot(ctx context.Context, req *relay.LeaseRequest) (func(), error) {
 	kind := admission.Read
 	if req.Writes {
 		kind = admission.Write
