--- a/internal/request/placement/balance_replay_test.go
+++ b/internal/request/placement/balance_replay_test.go
@@ -20,6 +20,8 @@
 	direct   bool
 	// oneZone is true if all choosers are in the data centre of the second target instead of spread over those of all.
 	oneZone bool
+	// hot is how many times the demand of the others the first chooser has; 0 means as much.
+	hot float64
 	// service is the mean time of a statement in milliseconds.
 	service float64
 	// slow is true if the second target is 5 times slower, and stop if the third one is down, from 6 to 10 s.
@@ -144,6 +146,9 @@
 				c.targets[j].window = Window(n, cs.choosers)
 			}
 		}
+		if i == 0 && cs.hot > 0 {
+			c.rate = cs.hot
+		}
 		rates += c.rate
 		r.choosers = append(r.choosers, c)
 	}
