--- a/internal/process/edge/balance_test.go
+++ b/internal/process/edge/balance_test.go
@@ -160,3 +160,25 @@
 		t.Errorf("got mean load %.2f, want 2", load.All)
 	}
 }
+
+// TestReadsOfOneSessionAreSpread guards against a setting that does not reach a running daemon: the reads of one session, one after the
+// other, go to both replicas.
+func TestReadsOfOneSessionAreSpread(t *testing.T) {
+	env := newTestEnv(t)
+	env.balance = balanceEven
+	c := env.start("front-1").connect("lookups")
+	env.eventually("a replica serves the read", func() bool { return !strings.Contains(c.query("READ a"), "by-g-0") })
+	const reads = 60
+	by := map[string]int{}
+	for range reads {
+		r := c.query("READ a")
+		for _, id := range []string{"g-0", "g-1", "g-2"} {
+			if strings.Contains(r, "by-"+id) {
+				by[id]++
+			}
+		}
+	}
+	if by["g-1"] < reads/5 || by["g-2"] < reads/5 {
+		t.Errorf("got reads by target %v, want at least %d at each replica", by, reads/5)
+	}
+}
--- a/internal/process/edge/harness_test.go
+++ b/internal/process/edge/harness_test.go
@@ -27,6 +27,8 @@
 	group *standin.Group
 	// drain is how long a leaving target may get work.
 	drain clock.Millis
+	// balance is the daemons' setting of that name.
+	balance string
 }
 
 // testConfig returns an operator's configuration. With withoutRoute set it lacks the route to database "gone".
@@ -110,7 +112,7 @@
 		},
 		Platform: PlatformSettings{StoreAddress: e.store.Address(), DutyAddress: e.store.Address(), Timeout: 1000, ConfigApply: 450},
 		Limits:   LimitSettings{Memory: 1024, Descriptors: 4096},
-		Failover: FailoverSettings{Refusing: 300, Silent: 700, Missing: 800},
+		Failover: FailoverSettings{Refusing: 300, Silent: 700, Missing: 800}, Placement: PlacementSettings{Balance: e.balance},
 	}
 	ctx, stop := context.WithCancel(e.t.Context())
 	d := &daemon{Daemon: New("", set, clock.System(), zap.NewNop()), t: e.t, set: set, stop: stop, done: make(chan error, 1)}
