--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -10,12 +10,13 @@
 
 // Settings are the checked settings of a daemon on the operator's platform.
 type Settings struct {
-	Daemon   DaemonSettings
-	Platform PlatformSettings
-	Limits   LimitSettings
-	Failover FailoverSettings
-	Quota    QuotaSettings
-	Log      LogSettings
+	Daemon    DaemonSettings
+	Platform  PlatformSettings
+	Limits    LimitSettings
+	Failover  FailoverSettings
+	Quota     QuotaSettings
+	Placement PlacementSettings
+	Log       LogSettings
 }
 
 // DaemonSettings are the identity, the addresses and the shutdown times of a daemon.
@@ -69,6 +70,12 @@
 	Slack          int `ini:"slack" default:"0" min:"0" max:"1000"`
 }
 
+// PlacementSettings select how targets are chosen.
+type PlacementSettings struct {
+	// Balance is "even" for targets chosen by their expected load (placement.ChooseEven) and "off" for the cheapest one (placement.Choose).
+	Balance string `ini:"balance" default:"off" oneof:"off even"`
+}
+
 // LogSettings select the level of the log.
 type LogSettings struct {
 	Level string `ini:"level" default:"info" oneof:"debug info warn error"`
