edge: serve a small workspace at one home of the fleet

Change: sessions of a workspace whose limit is below one operation a second for each home go to one home in the whole fleet, while it answers; larger ones stay in their data centre.

--- a/internal/connection/relay/harness_test.go
+++ b/internal/connection/relay/harness_test.go
@@ -217,7 +217,7 @@
 		Admit:           func(context.Context, *workspace.Workspace, clock.Millis) error { return nil },
 		Refund:          func(*workspace.Workspace, clock.Millis) {},
 		Home:            func(context.Context, *topology.Route, *workspace.Workspace) *Home { return nil },
-		Serves:          func(*topology.Route, group.DaemonID) bool { return true },
+		Serves:          func(*topology.Route, *workspace.Workspace, group.DaemonID) bool { return true },
 		HomeReplied:     func(_ group.ID, _ clock.Millis, refused bool) { b.homeRefusals = append(b.homeRefusals, refused) },
 		HomeFailed:      func(group.DaemonID) { b.homesLost++ },
 		Report:          func(o *Outcome) { b.outcomes = append(b.outcomes, *o) },
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -109,8 +109,9 @@
 	// Home opens a session of the workspace at the home daemon of the route. It returns nil if this daemon serves the route or no other
 	// is available.
 	Home func(ctx context.Context, r *topology.Route, w *workspace.Workspace) *Home
-	// Serves reports whether daemon d should serve the sessions of the route that arrive at this daemon; "" is this daemon.
-	Serves func(r *topology.Route, d group.DaemonID) bool
+	// Serves reports whether daemon d should serve the sessions of the workspace and the route that arrive at this daemon; "" is this
+	// daemon.
+	Serves func(r *topology.Route, w *workspace.Workspace, d group.DaemonID) bool
 	// HomeReplied records a reply of the home daemon to a statement that arrived at the given time. The argument refused is
 	// true if the statement was not run.
 	HomeReplied func(g group.ID, arrived clock.Millis, refused bool)
--- a/internal/connection/relay/seek.go
+++ b/internal/connection/relay/seek.go
@@ -42,7 +42,7 @@
 	if s.home != nil {
 		current = s.home.ID
 	}
-	if s.deps().Serves(r, current) {
+	if s.deps().Serves(r, s.workspace, current) {
 		return
 	}
 	h := s.deps().Home(ctx, r, s.workspace)
@@ -51,7 +51,7 @@
 		s.deps().HomeFailed(h.ID)
 		return
 	}
-	if h == nil && !s.deps().Serves(r, "") {
+	if h == nil && !s.deps().Serves(r, s.workspace, "") {
 		return // no daemon is available that should serve the session
 	}
 	if s.home != nil {
--- a/internal/connection/relay/seek_test.go
+++ b/internal/connection/relay/seek_test.go
@@ -44,7 +44,7 @@
 // setHome makes the daemon with that id serve the sessions of the test bed. The sessions find it as h.
 func (b *testBed) setHome(id group.DaemonID, h *Home) {
 	s := &b.session.server.deps
-	s.Serves = func(_ *topology.Route, d group.DaemonID) bool { return d == id }
+	s.Serves = func(_ *topology.Route, _ *workspace.Workspace, d group.DaemonID) bool { return d == id }
 	s.Home = func(context.Context, *topology.Route, *workspace.Workspace) *Home { return h }
 	b.session.nextHomeCheck = 0
 }
--- a/internal/process/edge/peers.go
+++ b/internal/process/edge/peers.go
@@ -111,23 +111,28 @@
 
 // homes returns the daemons that serve the route for this one. It is empty if every daemon serves the group itself.
 //
-// Where connections belong to workspaces, sessions of a route that only the primary serves go to the homes in the primary's data centre:
-// there the connections of all data centres are shared. The bytes between data centres are the same as for a home in this one.
-func (d *Daemon) homes(v *view, r *topology.Route) []placement.Peer {
+// Where connections belong to workspaces, sessions of a route that only the primary serves go to the homes in the primary's data centre,
+// and those of a small workspace to one home for the whole fleet: there the connections of all data centres are shared. For the former,
+// the bytes between data centres are the same as for a home in this one.
+func (d *Daemon) homes(v *view, r *topology.Route, w *workspace.Workspace) []placement.Peer {
 	peers, connections := d.peers.available(d.clk.Now()), v.config.Groups[r.Group].MaxConnections
 	homes := placement.Homes(r.Group, peers, group.DataCentre(d.set.Daemon.DataCentre), connections)
-	if len(homes) == 0 || v.config.Workspaces == nil || r.Consistency != topology.Strong {
+	if len(homes) == 0 || w == nil {
 		return homes
 	}
-	if g := v.groups[r.Group]; g != nil {
-		if primary := g.target(g.primary); primary != nil && primary.outageSince() == 0 {
-			// While the best homes there do not answer, the others there may not either: the data centre may be cut off.
-			remote := placement.Homes(r.Group, *d.peers.list.Load(), primary.meta.Load().DataCentre, connections)
-			remote = slices.DeleteFunc(remote, func(p placement.Peer) bool { return !placement.Contains(peers, p.ID) })
-			if len(remote) > 0 {
-				return remote
-			}
+	// While the best homes elsewhere do not answer, the others there may not either: their data centre may be cut off.
+	all := *d.peers.list.Load()
+	var remote []placement.Peer
+	if r.Consistency == topology.Strong {
+		if primary := v.workingPrimary(r.Group); primary != nil {
+			remote = placement.Homes(r.Group, all, primary.meta.Load().DataCentre, connections)
 		}
+	} else if fleet := placement.FleetHomes(r.Group, all, connections); w.Limited && placement.HasOneHome(w.Limit, len(v.config.Groups), len(fleet)) {
+		remote = []placement.Peer{placement.HomeFor(fleet, w.ID, rand.IntN)}
+	}
+	remote = slices.DeleteFunc(remote, func(p placement.Peer) bool { return !placement.Contains(peers, p.ID) })
+	if len(remote) > 0 {
+		return remote
 	}
 	return homes
 }
@@ -143,12 +148,12 @@
 }
 
 // servesRoute reports whether the daemon at may serve the route for this one; "" is this one. While this daemon is isolated, every daemon may, so that sessions stay where they are.
-func (d *Daemon) servesRoute(r *topology.Route, at group.DaemonID) bool {
+func (d *Daemon) servesRoute(r *topology.Route, w *workspace.Workspace, at group.DaemonID) bool {
 	v := d.view.Load()
 	if v.config == nil || d.set.Daemon.PeerAddress == "" || d.isolated.Load() {
 		return true
 	}
-	homes := d.homes(v, r)
+	homes := d.homes(v, r, w)
 	if at == "" {
 		return len(homes) == 0 || placement.Contains(homes, d.id)
 	}
@@ -175,7 +180,7 @@
 		return nil
 	}
 	for deadline := d.clk.Now() + homeSearchTimeout; d.clk.Now() < deadline; {
-		homes := d.homes(v, r)
+		homes := d.homes(v, r, w)
 		if len(homes) == 0 || placement.Contains(homes, d.id) {
 			return nil
 		}
--- a/internal/process/edge/view.go
+++ b/internal/process/edge/view.go
@@ -66,6 +66,18 @@
 	return nil
 }
 
+// workingPrimary returns the primary of a group, or nil if none is known or if it fails.
+func (v *view) workingPrimary(g group.ID) *target {
+	gv := v.groups[g]
+	if gv == nil {
+		return nil
+	}
+	if t := gv.target(gv.primary); t != nil && t.outageSince() == 0 {
+		return t
+	}
+	return nil
+}
+
 // findTarget returns a target by its group and ID, or nil.
 func (v *view) findTarget(g group.ID, id group.TargetID) *target {
 	if gv := v.groups[g]; gv != nil {
--- a/internal/process/edge/workspace_test.go
+++ b/internal/process/edge/workspace_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
+	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
+	"github.com/cactusfork/cactusfork/internal/version/workspace"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/platform/standin"
 )
@@ -172,8 +175,9 @@
 		}
 	}
 	d.set.Daemon.DataCentre = "elsewhere"
+	large := v.config.Workspaces.Get("alpha")
 	for consistency, want := range map[topology.Consistency]group.DataCentre{topology.Strong: there, topology.Bounded: "elsewhere"} {
-		homes := d.homes(v, &topology.Route{Group: "g", Consistency: consistency})
+		homes := d.homes(v, &topology.Route{Group: "g", Consistency: consistency}, large)
 		for _, h := range homes {
 			if h.DataCentre != want {
 				t.Errorf("consistency %d: got a home in %s, want %s", consistency, h.DataCentre, want)
@@ -183,12 +187,63 @@
 			t.Errorf("consistency %d: got no homes", consistency)
 		}
 	}
-	for _, h := range d.homes(v, &topology.Route{Group: "g", Consistency: topology.Strong}) {
+	for _, h := range d.homes(v, &topology.Route{Group: "g", Consistency: topology.Strong}, large) {
 		d.peers.backOff(h.ID, d.clk.Now()+clock.Second)
 	}
-	for _, h := range d.homes(v, &topology.Route{Group: "g", Consistency: topology.Strong}) {
+	for _, h := range d.homes(v, &topology.Route{Group: "g", Consistency: topology.Strong}, large) {
 		if h.DataCentre != "elsewhere" {
 			t.Errorf("got a home in %s while those at the primary do not answer, want one in the own data centre", h.DataCentre)
 		}
 	}
 }
+
+// Guards against a small workspace whose sessions are served in every data centre, each with connections of its own, and against one
+// whose sessions find no home while the one in another data centre does not answer.
+func TestSmallWorkspaceHasOneHome(t *testing.T) {
+	env := newTestEnv(t)
+	c := configWithKeys(3, "alpha:key-a", "beta:key-b")
+	for _, w := range c["Tenants"].([]any) {
+		if w := w.(map[string]any); w["Name"] == "beta" {
+			w["RatePerS"] = 1.0
+		}
+	}
+	env.store.Set("config", "main", c)
+	var daemons []*daemon
+	for i := range 4 {
+		daemons = append(daemons, env.start(fmt.Sprint("d", i)))
+	}
+	for _, d := range daemons {
+		env.eventually("daemon knows the others", func() bool { return len(*d.peers.list.Load()) == len(daemons) })
+		list := slices.Clone(*d.peers.list.Load())
+		for i := range list {
+			list[i].DataCentre = group.DataCentre(fmt.Sprint("dc", i/2))
+		}
+		d.peers.list.Store(&list)
+		i := slices.IndexFunc(list, func(p placement.Peer) bool { return p.ID == d.id })
+		d.set.Daemon.DataCentre = string(list[i].DataCentre)
+	}
+	homes := func(d *daemon, w string) []placement.Peer {
+		v := d.view.Load()
+		return d.homes(v, &topology.Route{Group: "g", Consistency: topology.Bounded}, v.config.Workspaces.Get(workspace.ID(w)))
+	}
+	small := homes(daemons[0], "beta")
+	if len(small) != 1 {
+		t.Fatalf("got homes %v of a small workspace, want one", small)
+	}
+	for i, d := range daemons {
+		if got := homes(d, "beta"); len(got) != 1 || got[0].ID != small[0].ID {
+			t.Errorf("daemon %d: got homes %v of a small workspace, want %s", i, got, small[0].ID)
+		}
+		for _, h := range homes(d, "alpha") {
+			if string(h.DataCentre) != d.set.Daemon.DataCentre {
+				t.Errorf("daemon %d: got home %s of a large workspace in %s, want one in %s", i, h.ID, h.DataCentre, d.set.Daemon.DataCentre)
+			}
+		}
+		d.peers.backOff(small[0].ID, d.clk.Now()+clock.Second)
+		for _, h := range homes(d, "beta") {
+			if string(h.DataCentre) != d.set.Daemon.DataCentre {
+				t.Errorf("daemon %d: got home %s while the one of the workspace does not answer, want one in the own data centre", i, h.ID)
+			}
+		}
+	}
+}
--- a/internal/request/placement/home.go
+++ b/internal/request/placement/home.go
@@ -102,6 +102,30 @@
 	return max(1, share)
 }
 
+// FleetHomes returns the homes of a group in all data centres. It returns none if every daemon serves the group itself.
+func FleetHomes(g group.ID, peers []Peer, connections int) []Peer {
+	var centres []group.DataCentre
+	var all []Peer
+	for i := range peers {
+		if dc := peers[i].DataCentre; !slices.Contains(centres, dc) {
+			centres = append(centres, dc)
+			all = append(all, Homes(g, peers, dc, connections)...)
+		}
+	}
+	return all
+}
+
+// minHomeRate is the limit of a workspace, in operations per second for each home of each group, from which the homes of every data
+// centre serve it. Below it, a connection of the workspace would be idle for so long that another one takes its place.
+const minHomeRate = 1.0
+
+// HasOneHome reports whether one home in the whole fleet serves all sessions of a workspace at a group. It answers the load of many
+// small workspaces: connections to targets are fewer than workspaces times data centres, and opening one takes nearly as much of a
+// target as a statement, which the way to another data centre does not.
+func HasOneHome(l workspace.Limit, groups, homes int) bool {
+	return l.PerSecond < minHomeRate*float64(max(groups, 1)*max(homes, 1))
+}
+
 // HomeFor returns the home that serves the sessions of a workspace. The same workspace goes to the same home, so that fewer
 // connections to targets have to be opened for other workspaces; a workspace without a name goes to the home that pick selects.
 func HomeFor(homes []Peer, w workspace.ID, pick func(n int) int) Peer {
