edge: record the newest term of a group in its claim

The claim now carries the newest term, the runs of targets known to hold it, and the targets of promotions without an answer. A target of an earlier term is promoted only if every registered target has reported its position, none may hold the newest term, and that has been so for 10 s, with a log line and the counter promotions-of-earlier-terms. After a restore, daemons write back what the copy lacks, and no daemon relies on a record of another era for 2 s. A promotion that was refused for certain no longer leaves the claim unsettled.

Without a failure a daemon still makes no read and one write of a single object, and a change of primary one read and two writes of the claim (TestRecordOfTheNewestTermCostsNoCalls).

TestSettlingDoesNotKeepTheClaim compares the fields of the claim instead of its text, which has further fields now. The stand-in's targets keep their log and term at a promotion while their replication is paused; before, no target was ever of an earlier term.

--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -36,12 +36,23 @@
 )
 
 // claim is the stored object by which a daemon reserves the change of a group's primary. The version of its write is the fencing token.
+//
+// It also records the newest term, since it is read and written at each change anyway. Each claim carries over the record of the one
+// before. Daemons of releases without the record ignore it, and drop it when they write a claim.
 type claim struct {
 	Holder group.DaemonID `json:"holder"`
 	// Open is true until the change has ended.
 	Open bool `json:"open"`
 	// Unsettled is true while a promotion that was requested under an earlier claim may still be executed.
 	Unsettled bool `json:"unsettled,omitempty"`
+	// Pending are the targets that such promotions may concern. They may concern others, too, if PendingUnknown is true, or if there are none.
+	Pending        []promotion.Holder `json:"pending,omitempty"`
+	PendingUnknown bool               `json:"pending-unknown,omitempty"`
+	// Primary is the primary that is to be replaced; empty if none is known.
+	Primary group.TargetID `json:"primary,omitempty"`
+	// Era is the store's era in which the newest term is known to be complete.
+	Era store.Era `json:"era,omitempty"`
+	promotion.NewestTerm
 }
 
 // heldClaim is a claim that this daemon holds.
@@ -49,14 +60,21 @@
 	fence store.Version
 	// takenAt is when it was requested.
 	takenAt clock.Millis
-	// unsettled is true if a promotion under it, or under an earlier claim, may still be executed.
-	unsettled bool
+	// record is what is written when the claim is closed. Its Unsettled is true if a promotion under this claim, or under an earlier one,
+	// may still be executed.
+	record claim
+	// unsettled describes the promotions under earlier claims.
+	unsettled promotion.Unsettled
+	// reliable is true if the record holds all that any daemon knew before a restore of the store.
+	reliable bool
 }
 
 var (
 	errClaimed        = errors.New("another daemon holds the claim to change the primary")
 	errNoSuccessor    = errors.New("no target can be promoted")
 	errPrimaryReplied = errors.New("primary answers, no change needed")
+	// errPromotionUnsettled means that a promotion may have been executed, or may still be.
+	errPromotionUnsettled = errors.New("promotion is unsettled")
 )
 
 // changePrimary replaces the primary of a group, and tells the control loop how long to wait before the next attempt.
@@ -82,58 +100,84 @@
 	if err != nil {
 		return "", err
 	}
-	d.log.Info("primary change claim acquired", zap.String("group", string(g.id)), zap.Stringer("fence", c.fence), zap.Bool("unsettled", c.unsettled))
-	defer func() { d.closeClaim(ctx, g.id, c) }()
-	successor, err := d.selectSuccessor(ctx, g, action)
+	d.log.Info("primary change claim acquired", zap.String("group", string(g.id)), zap.Stringer("fence", c.fence), zap.Bool("unsettled", c.record.Unsettled),
+		zap.Uint64("newest-term", uint64(c.record.Term)))
+	defer func() { d.closeClaim(ctx, g.id, &c) }()
+	successor, err := d.selectSuccessor(ctx, g, action, &c)
 	if err != nil {
 		d.resumeIfPaused(ctx, g, action, &c)
 		return "", err
 	}
 	id := successor.meta.Load().ID
-	if err := d.promoteAndWait(ctx, g, successor, c.fence); err != nil {
+	term, err := d.promoteAndWait(ctx, g, successor, c.fence)
+	if errors.Is(err, errPromotionUnsettled) {
 		// It may still be executed, so the replicas stay paused: what they received now might be missing at the successor.
-		c.unsettled = true
+		c.record.addPending(successor.holder())
 		return id, err
 	}
-	c.unsettled = false
+	if err != nil {
+		// It was refused, perhaps as another daemon has acted since, which may have paused the replicas.
+		return id, err
+	}
+	d.settle(g.id, &c, successor, term)
 	d.resumeIfPaused(ctx, g, action, &c)
 	return id, nil
 }
 
+// settle records that a target leads a term, so that no earlier promotion can be executed any more.
+func (d *Daemon) settle(g group.ID, c *heldClaim, primary *target, term position.Term) {
+	c.record.Unsettled, c.record.Pending, c.record.PendingUnknown = false, nil, false
+	c.record.NewestTerm = promotion.NewestTerm{Term: term, Holders: []promotion.Holder{primary.holder()}}
+	d.terms.set(g, c.record.NewestTerm)
+}
+
 // resumeIfPaused lets the replicas that selectSuccessor has paused receive again. Once the claim may have expired, another daemon may
 // have paused them; then holderKeeper resumes them.
 func (d *Daemon) resumeIfPaused(ctx context.Context, g *groupView, action promotion.Action, c *heldClaim) {
-	if action == promotion.Replace && d.syncReplicas(g.id) > 0 && !c.unsettled && d.clk.Now()-c.takenAt < claimTTL {
+	if action == promotion.Replace && d.syncReplicas(g.id) > 0 && !c.record.Unsettled && d.clk.Now()-c.takenAt < claimTTL {
 		d.resumeReplicas(ctx, g)
 	}
 }
 
 // takeClaim writes a claim over one that is closed or expired.
 func (d *Daemon) takeClaim(ctx context.Context, g group.ID) (heldClaim, error) {
-	key := store.Key(claimPrefix + string(g))
-	stored, err := d.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return heldClaim{}, fmt.Errorf("read claim: %w", err)
-	}
-	var current claim
-	if err == nil {
-		if err := json.Unmarshal(stored.Value, &current); err != nil {
-			d.warn("stored claim is malformed", err)
-			current = claim{Unsettled: true}
-		}
+	current, version, err := d.readClaim(ctx, g)
+	if err != nil {
+		return heldClaim{}, err
 	}
 	now := d.clk.Now()
-	if current.Open && current.Holder != d.id && !d.claimExpired(g, stored.Version, now) {
+	if current.Open && current.Holder != d.id && !d.claimExpired(g, version, now) {
 		return heldClaim{}, fmt.Errorf("%w: %s", errClaimed, current.Holder)
 	}
-	c := heldClaim{takenAt: now, unsettled: current.Open || current.Unsettled}
-	c.fence, err = d.store.Put(ctx, key, encodeClaim(claim{Holder: d.id, Open: true, Unsettled: c.unsettled}), stored.Version)
+	known := d.knownTerm(g)
+	c := heldClaim{takenAt: now}
+	c.record = claim{
+		Holder: d.id, Unsettled: current.Open || current.Unsettled, Era: current.Era, NewestTerm: known.Merge(current.NewestTerm),
+	}
+	if gv := d.view.Load().groups[g]; gv != nil {
+		c.record.Primary = gv.primary
+	}
+	if current.isResolved(known) {
+		// Only the resumption of paused replicas needs to know of the promotion.
+		c.record.Unsettled = c.record.Unsettled && d.syncReplicas(g) > 0
+	} else {
+		c.unsettled = current.unsettledPromotions()
+		c.record.Pending, c.record.PendingUnknown = c.unsettled.Targets, c.unsettled.Unknown
+	}
+	era := d.eras.Newest()
+	if c.reliable = d.terms.reliable(current.Era, era, now); c.reliable {
+		c.record.Era = era
+	}
+	open := c.record
+	open.Open = true
+	c.fence, err = d.store.Put(ctx, claimKey(g), encodeClaim(open), version)
 	if errors.Is(err, store.ErrConflict) {
 		return heldClaim{}, fmt.Errorf("%w: %w", errClaimed, err)
 	}
 	if err != nil {
 		return heldClaim{}, fmt.Errorf("write claim: %w", err)
 	}
+	d.terms.set(g, c.record.NewestTerm)
 	return c, nil
 }
 
@@ -155,8 +199,8 @@
 	firstRead clock.Millis
 }
 
-func (d *Daemon) closeClaim(ctx context.Context, g group.ID, c heldClaim) {
-	_, err := d.store.Put(ctx, store.Key(claimPrefix+string(g)), encodeClaim(claim{Holder: d.id, Unsettled: c.unsettled}), c.fence)
+func (d *Daemon) closeClaim(ctx context.Context, g group.ID, c *heldClaim) {
+	_, err := d.store.Put(ctx, claimKey(g), encodeClaim(c.record), c.fence)
 	if err != nil {
 		d.warn("closing primary change claim failed", err)
 	}
@@ -165,15 +209,15 @@
 func encodeClaim(c claim) []byte {
 	b, err := json.Marshal(c)
 	if err != nil {
-		panic("encode claim: " + err.Error()) // a struct of strings and bools always encodes
+		panic("encode claim: " + err.Error()) // a struct of strings, numbers and bools always encodes
 	}
 	return b
 }
 
 // selectSuccessor probes all targets and returns the one to promote. After a hand-over, that target holds everything that the primary had.
-func (d *Daemon) selectSuccessor(ctx context.Context, g *groupView, action promotion.Action) (*target, error) {
+func (d *Daemon) selectSuccessor(ctx context.Context, g *groupView, action promotion.Action, c *heldClaim) (*target, error) {
 	results := d.probeAll(ctx, g)
-	newest := d.samples.newestTerm(g.id)
+	newest := c.record.Term
 	members := make([]promotion.Member, len(g.targets))
 	for i, t := range g.targets {
 		result := &results[i]
@@ -183,6 +227,7 @@
 		}
 		if result.report == nil {
 			members[i].Draining = true // excluded from promotion, because its position is unknown
+			members[i].Unreported = true
 			continue
 		}
 		members[i].Received = result.report.Received
@@ -192,6 +237,11 @@
 		if err := d.secureCommits(ctx, g, members, newest+1); err != nil {
 			return nil, err
 		}
+		best, err := d.chooseSuccessor(g, members, c)
+		if err != nil {
+			return nil, err
+		}
+		return g.targets[best], nil
 	}
 	best := promotion.BestCandidate(members, newest)
 	d.log.Info("successor selection ended", zap.String("group", string(g.id)), zap.Stringer("action", action), zap.Int("chosen", best),
@@ -199,10 +249,7 @@
 	if best < 0 {
 		return nil, errNoSuccessor
 	}
-	if action == promotion.HandOver {
-		return d.handOver(ctx, g, g.targets[best])
-	}
-	return g.targets[best], nil
+	return d.handOver(ctx, g, g.targets[best])
 }
 
 // secureCommits makes sure that the replicas that answer hold all acknowledged commits, now and until the change has ended: it pauses
@@ -325,35 +372,43 @@
 	return report, nil
 }
 
-// promoteAndWait requests the promotion under the claim and waits until the target is the primary.
-func (d *Daemon) promoteAndWait(ctx context.Context, g *groupView, successor *target, fence store.Version) error {
-	id := successor.meta.Load().ID
+// promoteAndWait requests the promotion under the claim, waits until the target is the primary and returns the term that it leads.
+func (d *Daemon) promoteAndWait(ctx context.Context, g *groupView, successor *target, fence store.Version) (position.Term, error) {
+	id, mayRun := successor.meta.Load().ID, false
 	for attempt := 1; ; attempt++ {
 		err := d.promote(ctx, g.id, id, fence)
 		d.log.Info("promotion requested", zap.String("group", string(g.id)), zap.String("target", string(id)),
 			zap.Stringer("fence", fence), zap.Int("try", attempt), zap.Error(err))
 		if err == nil {
-			return d.awaitPrimary(ctx, g, successor, d.clk.Now()+promotionTimeout)
+			term, err := d.awaitPrimary(ctx, g, successor, d.clk.Now()+promotionTimeout)
+			if err != nil {
+				err = fmt.Errorf("%w: %w", errPromotionUnsettled, err)
+			}
+			return term, err
 		}
+		mayRun = mayRun || !errors.Is(err, platform.ErrFenced) && !errors.Is(err, store.ErrRefused)
 		if errors.Is(err, platform.ErrFenced) || attempt >= maxPromoteAttempts {
-			return err
+			if mayRun {
+				err = fmt.Errorf("%w: %w", errPromotionUnsettled, err)
+			}
+			return 0, err
 		}
-		if d.awaitPrimary(ctx, g, successor, d.clk.Now()+changeRetryPause) == nil {
-			return nil
+		if term, err := d.awaitPrimary(ctx, g, successor, d.clk.Now()+changeRetryPause); err == nil {
+			return term, nil
 		}
 	}
 }
 
-// awaitPrimary probes a promoted target until it proves that it is the primary, and fails at the deadline.
-func (d *Daemon) awaitPrimary(ctx context.Context, g *groupView, successor *target, deadline clock.Millis) error {
+// awaitPrimary probes a promoted target until it proves that it is the primary, and returns the term that it leads. It fails at the deadline.
+func (d *Daemon) awaitPrimary(ctx context.Context, g *groupView, successor *target, deadline clock.Millis) (position.Term, error) {
 	id := successor.meta.Load().ID
 	for d.clk.Now() < deadline {
 		if result := d.probeTarget(ctx, g, successor, false); result.provedPrimary {
-			return nil
+			return result.term, nil
 		}
 		if err := d.clk.Sleep(ctx, promotionPollInterval); err != nil {
-			return err
+			return 0, err
 		}
 	}
-	return fmt.Errorf("%s did not become the primary in time", id)
+	return 0, fmt.Errorf("%s did not become the primary in time", id)
 }
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -106,6 +106,10 @@
 	// claims holds the open claims of other daemons as last read; claimsMu guards it.
 	claimsMu sync.Mutex
 	claims   map[group.ID]observedClaim
+	// terms holds what this daemon knows of the newest terms from the store.
+	terms *termRecord
+	// storeSince is the time since which the targets' entries can be read, as clock.Millis; 0 while they cannot.
+	storeSince atomic.Int64
 }
 
 // New returns a daemon; nothing runs before Run.
@@ -114,7 +118,7 @@
 		id: group.DaemonID(set.Daemon.ID), file: file, set: set, clk: clk, log: log, meter: newMeter(),
 		promotion: promotion.Timeouts{
 			Refusing: set.Failover.Refusing, Silent: set.Failover.Silent, Missing: set.Failover.Missing,
-			ReceiptMaxAge: promotion.DefaultTimeouts().ReceiptMaxAge,
+			Lost: promotion.DefaultTimeouts().Lost, ReceiptMaxAge: promotion.DefaultTimeouts().ReceiptMaxAge,
 		},
 		samples:      newSampler(),
 		targetDialer: socket.Dialer(targetLimits),
@@ -123,6 +127,7 @@
 		mirrors:      mirror.NewClient(socket.Dialer(peerLimits).DialContext),
 		caches:       map[store.Key]*mirror.Cache{platform.ConfigPrefix: {}, platform.TargetsPrefix: {}, peerPrefix: {}},
 		claims:       make(map[group.ID]observedClaim),
+		terms:        newTermRecord(),
 	}
 	d.eras.OnRestore = d.handleRestore
 	d.gaugeStoreCalls("store-calls", &d.calls)
@@ -156,6 +161,7 @@
 
 func (d *Daemon) handleRestore(era, before store.Era) {
 	d.count("store-restores")
+	d.terms.beginEra(d.clk.Now(), true)
 	d.log.Warn("store restored from a copy", zap.Uint64("era", uint64(era)), zap.Uint64("before", uint64(before)))
 }
 
@@ -243,6 +249,7 @@
 	go d.followConfig(inner)
 	go d.followTargets(inner)
 	go d.keepHolders(inner)
+	go d.keepTerms(inner)
 	go d.serveHTTP(inner, health, http.HandlerFunc(d.health))
 	if d.set.Daemon.MetricsAddress != "" {
 		go d.serveMetrics(inner)
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -266,6 +266,12 @@
 		return
 	}
 	d.storeUp.Store(up)
+	d.storeSince.Store(0)
+	if up {
+		now := d.clk.Now()
+		d.storeSince.Store(int64(now))
+		d.terms.beginEra(now, false)
+	}
 	d.control.send(ctx, storeState{up: up})
 }
 
--- a/internal/process/edge/harness_test.go
+++ b/internal/process/edge/harness_test.go
@@ -102,6 +102,12 @@
 
 // start runs a daemon and waits until it is ready.
 func (e *testEnv) start(id string) *daemon {
+	e.t.Helper()
+	return e.startWith(id, zap.NewNop(), func(*Settings) {}, func(*Daemon) {})
+}
+
+// startWith is start with a logger; alterSettings and alter change the daemon's settings, and the daemon before it runs.
+func (e *testEnv) startWith(id string, log *zap.Logger, alterSettings func(*Settings), alter func(*Daemon)) *daemon {
 	e.t.Helper()
 	set := &Settings{
 		Daemon: DaemonSettings{
@@ -112,8 +118,10 @@
 		Limits:   LimitSettings{Memory: 1024, Descriptors: 4096},
 		Failover: FailoverSettings{Refusing: 300, Silent: 700, Missing: 800},
 	}
+	alterSettings(set)
 	ctx, stop := context.WithCancel(e.t.Context())
-	d := &daemon{Daemon: New("", set, clock.System(), zap.NewNop()), t: e.t, set: set, stop: stop, done: make(chan error, 1)}
+	d := &daemon{Daemon: New("", set, clock.System(), log), t: e.t, set: set, stop: stop, done: make(chan error, 1)}
+	alter(d.Daemon)
 	go func() { d.done <- d.Run(ctx) }()
 	e.t.Cleanup(func() {
 		stop()
--- a/internal/process/edge/probe.go
+++ b/internal/process/edge/probe.go
@@ -9,6 +9,7 @@
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/pkg/clock"
+	"github.com/cactusfork/cactusfork/pkg/position"
 	"github.com/cactusfork/cactusfork/platform"
 )
 
@@ -37,7 +38,9 @@
 	reachable bool
 	// provedPrimary is true when the target has just proved that it is the primary.
 	provedPrimary bool
-	report        *link.Report
+	// term is the term of that proof.
+	term   position.Term
+	report *link.Report
 }
 
 // probeTarget probes one target. With newConn set it opens a connection, because an existing one may be dead.
@@ -61,7 +64,7 @@
 		d.handleFailure(g.id, id, sentAt, err)
 		return result
 	}
-	result.provedPrimary = r.Completed
+	result.provedPrimary, result.term = r.Completed, r.Point.Term
 	if result.provedPrimary {
 		d.handlePrimaryProof(g.id, id, placement.Sample{Point: r.Point, RequestedAt: sentAt})
 	} else if r.Code == statement.ReadOnly && g.primary == id {
--- a/internal/process/edge/quorum.go
+++ b/internal/process/edge/quorum.go
@@ -242,17 +242,22 @@
 	if err != nil {
 		return err
 	}
-	defer func() { d.closeClaim(ctx, g.id, c) }()
-	if _, err := d.provePrimary(ctx, g.id, g.target(g.primary)); err != nil {
+	defer func() { d.closeClaim(ctx, g.id, &c) }()
+	primary := g.target(g.primary)
+	point, err := d.provePrimary(ctx, g.id, primary)
+	if err != nil {
 		return fmt.Errorf("settle: %w", err)
 	}
-	if c.unsettled {
+	if c.record.Unsettled {
 		// A promotion whose response was lost may still be executed. This one changes nothing and has the platform refuse the earlier one.
 		if err := d.promote(ctx, g.id, g.primary, c.fence); err != nil {
 			return fmt.Errorf("settle: %w", err)
 		}
+		if p, err := d.provePrimary(ctx, g.id, primary); err == nil {
+			point = p // its term may be a later one
+		}
 	}
 	d.resumeReplicas(ctx, g)
-	c.unsettled = false
+	d.settle(g.id, &c, primary, point.Term)
 	return nil
 }
--- a/internal/process/edge/quorum_test.go
+++ b/internal/process/edge/quorum_test.go
@@ -245,6 +245,7 @@
 	}
 	mu.Unlock()
 	env.eventually("the claim is closed and unsettled", func() bool {
-		return env.store.Text("cactusfork-claims", "g") == `{"holder":"front-1","open":false,"unsettled":true}`
+		c := env.claim()
+		return c.Holder == "front-1" && !c.Open && c.Unsettled
 	})
 }
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -142,6 +142,13 @@
 	return first, true
 }
 
+// receivedTerm returns the newest term of which the target is known to hold log; 0 if none is known.
+func (t *target) receivedTerm() position.Term {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.receipt.Point.Term
+}
+
 // repliedSince reports whether the target has replied to anything at or after at.
 func (t *target) repliedSince(at clock.Millis) bool {
 	t.mu.Lock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/cactusfork/cactusfork/pkg/clock"
@@ -22,6 +23,10 @@
 	restoreShare = 6
 	// maxSilence bounds how long a primary is silent, in milliseconds.
 	maxSilence = 2500
+	// maxTermWait bounds the wait for the second primary, secondTermTime is how long it is served, and unknownTime how long daemons run that have not seen its term, in milliseconds. The latter is below the time after which a target counts as lost.
+	maxTermWait    = 10_000
+	secondTermTime = 1500
+	unknownTime    = 6000
 	// maxReplicaFault bounds how long a replica receives nothing, in milliseconds. Its entry may be forgotten in that time.
 	maxReplicaFault = 7000
 	// maxFaultGap bounds the time between two faults of a series, in milliseconds.
@@ -118,6 +123,8 @@
 	if s.clk.Sleep(ctx, clock.Millis(r.IntN(maxFaultGap))) != nil {
 		return
 	}
+	s.primaryMu.Lock()
+	defer s.primaryMu.Unlock()
 	p := s.group.Primary()
 	if p == nil {
 		return
@@ -148,3 +155,58 @@
 	t.SetSilent(false)
 	s.group.WriteEntries()
 }
+
+// forgetTerm has a primary replaced that is cut off. Then the other targets are cut off and their entries expire, the first primary is
+// back with its log of the earlier term, and all daemons start again, so that none has seen the newest one. Commits of that term must
+// not be lost. It does so once a run, as the store has to stay calm meanwhile: a restore would lose what no daemon knows.
+func (s *soak) forgetTerm(ctx context.Context, r *rand.Rand) {
+	if s.clk.Sleep(ctx, clock.Millis(r.IntN(maxFaultGap))) != nil || s.forgottenTerms.Load() > 0 {
+		return
+	}
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	s.primaryMu.Lock()
+	defer s.primaryMu.Unlock()
+	first := s.group.Primary()
+	if first == nil {
+		return
+	}
+	setCutOff(first, true)
+	second := first
+	for limit := s.clk.Now() + maxTermWait; second == first && s.clk.Now() < limit; {
+		if s.clk.Sleep(ctx, probeInterval) != nil {
+			break
+		}
+		second = s.group.Primary()
+	}
+	if second == nil || second == first {
+		setCutOff(first, false)
+		return
+	}
+	_ = s.clk.Sleep(ctx, secondTermTime)
+	s.forgottenTerms.Add(1)
+	// The primary is the first to be cut off and the first to be back, so that the replica between them lacks none of its commits.
+	others := slices.DeleteFunc(slices.Clone(s.group.Targets), func(t *standin.Target) bool { return t == first || t == second })
+	others = append([]*standin.Target{second}, others...)
+	for _, t := range others {
+		setCutOff(t, true)
+		s.store.DeleteTarget(t.ID)
+	}
+	setCutOff(first, false)
+	for _, d := range s.fleet {
+		d.restart(ctx)
+	}
+	_ = s.clk.Sleep(ctx, unknownTime)
+	for _, t := range others {
+		setCutOff(t, false)
+	}
+	s.group.CatchUp()
+	s.group.WriteEntries()
+	s.storeCalmAt.Store(int64(s.clk.Now()))
+}
+
+// setCutOff makes a target answer and receive nothing, or both again.
+func setCutOff(t *standin.Target, cutOff bool) {
+	t.SetSilent(cutOff)
+	t.SetReplicationPaused(cutOff)
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -40,7 +40,7 @@
 
 // Report tells what a run did and which rules were broken.
 type Report struct {
-	Versions, Restores, Outages, Restarts, PrimaryFaults, ReplicaFaults int64
+	Versions, Restores, Outages, Restarts, PrimaryFaults, ReplicaFaults, ForgottenTerms int64
 	// Writes is how many writes were acknowledged, and Probes how often a configuration was asked for.
 	Writes, Probes int64
 	// Broken has a line for each broken rule.
@@ -58,12 +58,14 @@
 	fleet  []*daemon
 	config *operator
 
-	versions, restores, outages, restarts, primaryFaults, replicaFaults atomic.Int64
-	writes, probes                                                      atomic.Int64
+	versions, restores, outages, restarts, primaryFaults, replicaFaults, forgottenTerms atomic.Int64
+	writes, probes                                                                      atomic.Int64
 
 	// storeMu is held while the store is disturbed. storeCalmAt is when the last disturbance ended.
 	storeMu     sync.Mutex
 	storeCalmAt atomic.Int64
+	// primaryMu is held while a fault of the primary lasts.
+	primaryMu sync.Mutex
 	// stopped is closed when no more faults occur.
 	stopped chan struct{}
 
@@ -105,7 +107,7 @@
 	work.Wait()
 	return &Report{
 		Versions: s.versions.Load(), Restores: s.restores.Load(), Outages: s.outages.Load(), Restarts: s.restarts.Load(),
-		PrimaryFaults: s.primaryFaults.Load(), ReplicaFaults: s.replicaFaults.Load(), Writes: s.writes.Load(), Probes: s.probes.Load(), Broken: s.broken,
+		PrimaryFaults: s.primaryFaults.Load(), ReplicaFaults: s.replicaFaults.Load(), ForgottenTerms: s.forgottenTerms.Load(), Writes: s.writes.Load(), Probes: s.probes.Load(), Broken: s.broken,
 	}, nil
 }
 
@@ -116,6 +118,8 @@
 	series := []func(ctx context.Context, r *rand.Rand){s.disturbStore, s.restartDaemon, s.silencePrimary, s.config.change}
 	if s.cfg.SyncReplicas > 0 {
 		series = append(series, s.silenceReplica)
+	} else {
+		series = append(series, s.forgetTerm)
 	}
 	copies := newCopies(s)
 	var work sync.WaitGroup
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,11 +15,13 @@
 // asynchronous and with synchronous commits.
 func TestCallersUnderRepeatedFaults(t *testing.T) {
 	daemons := number(t, "SOAK_DAEMONS", 7)
+	// With asynchronous commits, the store is left calm once for up to 20 s.
+	lengths := []clock.Millis{45 * clock.Second, 25 * clock.Second}
 	for seed := range number(t, "SOAK_SEEDS", 3) {
 		for synchronous, name := range []string{"asynchronous", "synchronous"} {
 			t.Run(fmt.Sprint("seed ", seed+1, " ", name), func(t *testing.T) {
 				t.Parallel()
-				r, err := Run(t.Context(), Config{Seed: uint64(seed + 1), Daemons: daemons, SyncReplicas: synchronous, Length: 25 * clock.Second, Log: zap.NewNop()})
+				r, err := Run(t.Context(), Config{Seed: uint64(seed + 1), Daemons: daemons, SyncReplicas: synchronous, Length: lengths[synchronous], Log: zap.NewNop()})
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -27,7 +29,7 @@
 				for _, line := range r.Broken {
 					t.Error(line)
 				}
-				if r.Restores == 0 || r.Restarts == 0 || r.PrimaryFaults == 0 || r.Writes == 0 || r.Probes == 0 || synchronous > 0 && r.ReplicaFaults == 0 {
+				if r.Restores == 0 || r.Restarts == 0 || r.PrimaryFaults == 0 || r.Writes == 0 || r.Probes == 0 || synchronous > 0 && r.ReplicaFaults == 0 || synchronous == 0 && r.ForgottenTerms == 0 {
 					t.Errorf("got %+v, want some of each", *r)
 				}
 			})
--- a/internal/version/promotion/decide.go
+++ b/internal/version/promotion/decide.go
@@ -14,14 +14,19 @@
 	Silent clock.Millis
 	// Missing is how long a group must have no target that reports itself as primary before one is promoted.
 	Missing clock.Millis
+	// Lost is how long no target that may hold a group's newest term must be registered before one of an earlier term is promoted.
+	Lost clock.Millis
 	// ReceiptMaxAge is how long log received by a replica counts as proof that the primary is alive.
 	// It spans two status rounds, one of which waits for a silent target.
 	ReceiptMaxAge clock.Millis
 }
 
 // DefaultTimeouts returns timeouts that balance a short failover gap against the risk of replacing a live primary.
+//
+// Lost covers a target that is silent for 7 s, the longest silence of the deployments: its entry expires after 3.6 s, and is written
+// again up to 1.2 s after its return.
 func DefaultTimeouts() Timeouts {
-	return Timeouts{Refusing: 300, Silent: 700, Missing: 800, ReceiptMaxAge: 1000}
+	return Timeouts{Refusing: 300, Silent: 700, Missing: 800, Lost: 10_000, ReceiptMaxAge: 1000}
 }
 
 // Member is this daemon's view of one target of a group.
@@ -30,6 +35,8 @@
 	// StartedAt is when the target started, as in Holder.
 	StartedAt int64
 	Draining  bool
+	// Unreported is true if the target did not report its position when a successor was sought.
+	Unreported bool
 	// Leader is true for the target that this daemon takes to be the primary.
 	Leader bool
 	// Answered is the time of the target's last reply; 0 if it has never answered.
