trial: let a trial last until what it checks has happened

A trial ended 2.7 s after its start, whatever the machine had done by then, and on a busy one without a write after the fault or without any request. The checks are the same.

--- a/internal/trial/config.go
+++ b/internal/trial/config.go
@@ -54,6 +54,9 @@
 	Listen string
 	// Length is the duration of the load in milliseconds; 0 runs the daemons without load until the context ends.
 	Length clock.Millis
+	// MaxLength bounds the duration of a load that has to go on until the trial has shown what it is for, see History.complete; 0 ends
+	// the load after Length in any case. The duration of a trial then follows what the machine gets done.
+	MaxLength clock.Millis
 	// Seed seeds the random choices of the sessions.
 	Seed  uint64
 	Fault Fault
--- a/internal/trial/history.go
+++ b/internal/trial/history.go
@@ -83,6 +83,36 @@
 	h.Reads = append(h.Reads, *r)
 }
 
+// servedEachKind reports whether a write and a read of each kind was acknowledged.
+func (h *History) servedEachKind() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var writes [Revise + 1]bool
+	var withMaxAge, without bool
+	for i := range h.Writes {
+		if w := &h.Writes[i]; w.Outcome == Acknowledged {
+			writes[w.Kind] = true
+		}
+	}
+	for i := range h.Reads {
+		if r := &h.Reads[i]; r.Outcome == Acknowledged {
+			withMaxAge, without = withMaxAge || r.HasMaxAge, without || !r.HasMaxAge
+		}
+	}
+	return writes[Create] && writes[Revise] && withMaxAge && without
+}
+
+// complete reports whether the history shows what a trial of the fault is for: requests of each kind, and a write that was acknowledged
+// behind a fault of the primary.
+func (h *History) complete(f Fault, times faultTimes) bool {
+	if !h.servedEachKind() {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !f.primaryFails() || failoverGap(h, times) != nil
+}
+
 // quoteID returns the prefix of the row IDs of a session's quote. The INSERT statement appends the number of existing rows with that
 // prefix, so that a write that runs twice creates a second row.
 func quoteID(session, quote int) string {
--- a/internal/trial/standins.go
+++ b/internal/trial/standins.go
@@ -64,7 +64,9 @@
 	if s.Platform, err = platformstand.Start(ctx, platformstand.Config{Listen: cfg.Platform}); err != nil {
 		return nil, fmt.Errorf("start platform: %w", err)
 	}
-	return s, publishDemo(ctx, s.Store(clk), &rec)
+	// A trial cannot begin without them, so that a busy machine may take long.
+	store := platform.Dial(platform.Config{URL: s.Platform.URL(), Timeout: settleTimeout}, clk)
+	return s, publishDemo(ctx, store, &rec)
 }
 
 // Store returns a new client of the platform with a timeout of 1 s.
