edge: name the error of a test's daemon that ends before it is ready

TestOtherDaemonsReadFromMirrors failed with "daemon is ready: timed out after 10s". The cause is traced: with ports on the shared 127.0.0.1, another copy or an outgoing connection takes the port between its choice and the daemon's start.

--- a/internal/process/edge/harness_test.go
+++ b/internal/process/edge/harness_test.go
@@ -127,7 +127,15 @@
 		stop()
 		<-d.done
 	})
-	e.eventually("daemon is ready", func() bool { return d.healthy() })
+	e.eventually("daemon is ready", func() bool {
+		select {
+		case err := <-d.done:
+			d.done <- err
+			e.t.Fatalf("daemon ended before it was ready: %v", err)
+		default:
+		}
+		return d.healthy()
+	})
 	return d
 }
 
