--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -266,11 +266,12 @@
 		return
 	}
 	d.storeUp.Store(up)
-	since := clock.Millis(0)
+	d.storeSince.Store(0)
 	if up {
-		since = d.clk.Now()
+		now := d.clk.Now()
+		d.storeSince.Store(int64(now))
+		d.terms.beginEra(now, false)
 	}
-	d.storeSince.Store(int64(since))
 	d.control.send(ctx, storeState{up: up})
 }
 
