memory: account for the bytes that callers of edge make it retain

Change: internal/connection/memory keeps one byte account for a daemon (30 % of memory-mb). Line readers, statements, output buffers, replies of targets, session values, sessions and responses of the mirror draw from it. When it runs low, large draws wait; a decision without I/O closes callers that hold most and make no progress for the stall time, and an eighth stays reserved for ordinary callers. Startup messages, session state, sessions with connections to home daemons, HTTP connections, headers and bodies, and objects of the store have limits in [limits]. Session values are compared by digest, and a target connection with more than 64 KiB of them is not kept.

--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -45,6 +45,9 @@
 	// minEarlyLimit is the least number of connections that the early limit allows: one for a transaction and one for all other
 	// statements.
 	minEarlyLimit = 2
+	// maxKeptValueBytes is the size of the session values with which a connection is kept. Larger ones would stay in memory behind the
+	// end of their session.
+	maxKeptValueBytes = 64 << 10
 	// drainTimeout bounds the wait for outstanding replies that no caller waits for.
 	drainTimeout = 5 * clock.Second
 )
@@ -309,7 +312,7 @@
 	if err == nil && r.Code == statement.OK {
 		return newConn(p.cfg.Target, ws, w, tcp, p.cfg.Clock), nil
 	}
-	_ = tcp.Close() // the startup has failed
+	_ = w.Close() // the startup has failed
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, fmt.Errorf("%w: %w: startup: %w", ErrUnreachable, ErrStartupTimeout, err)
@@ -325,11 +328,11 @@
 	}
 }
 
-// Put returns a connection to the pool. It closes a connection that is broken or has outstanding replies.
+// Put returns a connection to the pool. It closes a connection that is broken, has outstanding replies or carries large session values.
 func (p *Pool) Put(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || c.broken || c.pending > 0 || p.open > p.maximum() {
+	if p.closed || c.broken || c.pending > 0 || p.open > p.maximum() || c.values.size > maxKeptValueBytes {
 		c.Break()
 		p.open--
 	} else {
--- a/internal/connection/link/values.go
+++ b/internal/connection/link/values.go
@@ -1,16 +1,19 @@
 package link
 
 import (
+	"crypto/sha256"
+	"io"
 	"maps"
 	"slices"
-	"strings"
 )
 
 // Values are the session values that a caller has set. The zero value holds none.
 type Values struct {
 	byName map[string]string
-	// key is the same for equal values.
+	// key is the same for equal values: a digest of them, so that it takes no memory in proportion to them.
 	key string
+	// size is the length of all names and values.
+	size int
 }
 
 // Len returns the number of names with a value.
@@ -22,14 +25,15 @@
 		v.byName = make(map[string]string)
 	}
 	v.byName[name] = value
-	var b strings.Builder
+	v.size = 0
+	h := sha256.New()
 	for _, n := range slices.Sorted(maps.Keys(v.byName)) {
-		b.WriteString(n)
-		b.WriteByte(0)
-		b.WriteString(v.byName[n])
-		b.WriteByte(0)
+		for _, text := range []string{n, "\x00", v.byName[n], "\x00"} {
+			_, _ = io.WriteString(h, text) // a hash does not fail
+			v.size += len(text)
+		}
 	}
-	v.key = b.String()
+	v.key = string(h.Sum(nil))
 }
 
 // commands returns the commands that turn the values in force on a connection into v. The second result is true if they
@@ -56,4 +60,6 @@
 	return list, reset
 }
 
-func (v *Values) clone() Values { return Values{byName: maps.Clone(v.byName), key: v.key} }
+func (v *Values) clone() Values {
+	return Values{byName: maps.Clone(v.byName), key: v.key, size: v.size}
+}
--- a/internal/connection/link/wire.go
+++ b/internal/connection/link/wire.go
@@ -62,7 +62,7 @@
 type Reply struct {
 	// Body holds the rows and the completion as the target sent them. It is valid until the next reply is read.
 	Body []byte
-	// Row is the last row.
+	// Row is the start of the last row, up to 1 KiB.
 	Row string
 	// Completed is true if the command succeeded.
 	Completed bool
--- a/internal/connection/relay/forward.go
+++ b/internal/connection/relay/forward.go
@@ -32,6 +32,10 @@
 		s.closeHome()
 		return false
 	}
+	if refused := s.holdSetup(st); refused != nil {
+		s.fail(refused.Code, refused.Text)
+		return true
+	}
 	e := &execution{s: s, st: st, route: r, writes: st.Writes, asOf: s.now()}
 	if p := s.prepared[st.Name]; st.Verb == statement.Execute && p != nil {
 		e.writes = p.Writes
@@ -66,6 +70,10 @@
 	if r.Completed {
 		e.recordSessionState()
 	}
+	switch e.st.Verb {
+	case statement.Set, statement.Prepare, statement.Deallocate:
+		s.settleSetup()
+	}
 	if e.commits() && r.Completed && (e.writes || s.tx != nil && s.tx.wrote) {
 		s.recordCommit(e.req.Group, r.Point)
 	}
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cactusfork/cactusfork/internal/connection/link"
+	"github.com/cactusfork/cactusfork/internal/connection/memory"
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
@@ -32,6 +33,8 @@
 	// Interrupt makes a Receive that waits return with an error.
 	Interrupt func() error
 	Close     func() error
+	// Memory is the part of the daemon's account that the connection holds; nil without an account.
+	Memory *memory.Holder
 }
 
 // Startup is the content of a startup message.
--- a/internal/connection/relay/server.go
+++ b/internal/connection/relay/server.go
@@ -20,6 +20,12 @@
 	StartupTimeout clock.Millis
 	// WriteTimeout bounds the time in which the caller has to read a reply.
 	WriteTimeout clock.Millis
+	// MaxSetupBytes bounds the text of the values and prepared statements of a session; 0 means no limit.
+	MaxSetupBytes int
+	// Homes returns the number of connections to home daemons, which count as sessions; nil means none.
+	Homes func() int
+	// SessionRejected is called for each connection beyond MaxSessions; it may be nil.
+	SessionRejected func()
 }
 
 // Server holds the sessions of a daemon.
@@ -89,9 +95,12 @@
 	s.mu.Lock()
 	s.lastID++
 	c.id = s.lastID
-	if len(s.sessions) >= s.cfg.MaxSessions {
+	if len(s.sessions)+s.homes() >= s.cfg.MaxSessions {
 		s.mu.Unlock()
-		_ = conn.Close() // more than MaxSessions; the caller can connect to another daemon
+		_ = c.wire.Close() // more than MaxSessions; the caller can connect to another daemon
+		if s.cfg.SessionRejected != nil {
+			s.cfg.SessionRejected()
+		}
 		return
 	}
 	s.sessions[c] = struct{}{}
@@ -106,6 +115,13 @@
 	}()
 }
 
+func (s *Server) homes() int {
+	if s.cfg.Homes == nil {
+		return 0
+	}
+	return s.cfg.Homes()
+}
+
 // Len returns the number of sessions.
 func (s *Server) Len() int {
 	s.mu.Lock()
--- a/internal/connection/relay/session.go
+++ b/internal/connection/relay/session.go
@@ -47,6 +47,8 @@
 	lastCommit map[group.ID]position.Point
 	// setup holds the statements that set values and prepare statements, for replay at a later home daemon.
 	setup map[setupKey]statement.Statement
+	// setupBytes is what the session has drawn for setup from the account of the daemon.
+	setupBytes int
 	// nextHomeCheck is when to check next which daemon should serve the session.
 	nextHomeCheck clock.Millis
 	// floorSent is true once the home daemon knows the last commit that the session made elsewhere.
@@ -449,6 +451,11 @@
 
 // handleSetup records what the session sets or prepares. It is put in force on the connection where a later statement runs.
 func (s *session) handleSetup(st statement.Statement) {
+	if refused := s.holdSetup(&st); refused != nil {
+		s.fail(refused.Code, refused.Text)
+		return
+	}
+	defer s.settleSetup()
 	switch st.Verb {
 	case statement.Set:
 		if s.values.Len() >= maxSetupEntries {
--- /dev/null
+++ b/internal/connection/socket/limit.go
@@ -0,0 +1,67 @@
+package socket
+
+import (
+	"container/list"
+	"fmt"
+	"net"
+	"sync"
+)
+
+// limitListener keeps at most limit of its connections open.
+type limitListener struct {
+	net.Listener
+	limit int
+	// onClose is called for each connection that was closed for another one.
+	onClose func()
+
+	mu sync.Mutex
+	// open holds the connections in the order in which they were accepted.
+	open *list.List
+}
+
+// LimitListener returns a listener that keeps at most limit of its connections open. It closes the oldest one in favour of a new one,
+// so that connections that stay open without a request keep nobody out.
+func LimitListener(l net.Listener, limit int, onClose func()) net.Listener {
+	return &limitListener{Listener: l, limit: limit, onClose: onClose, open: list.New()}
+}
+
+// Accept waits for the next connection.
+func (l *limitListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, fmt.Errorf("accept: %w", err)
+	}
+	c := &limitedConn{Conn: conn, listener: l}
+	l.mu.Lock()
+	var oldest *limitedConn
+	if l.open.Len() >= l.limit {
+		oldest, _ = l.open.Front().Value.(*limitedConn)
+	}
+	c.place = l.open.PushBack(c)
+	l.mu.Unlock()
+	if oldest != nil {
+		_ = oldest.Close() // it may be closed already
+		l.onClose()
+	}
+	return c, nil
+}
+
+// limitedConn is a connection of a limitListener.
+type limitedConn struct {
+	net.Conn
+	listener *limitListener
+	// place is nil once the connection is closed; the listener's mu guards it.
+	place *list.Element
+}
+
+// Close closes the connection.
+func (c *limitedConn) Close() error {
+	l := c.listener
+	l.mu.Lock()
+	if c.place != nil {
+		l.open.Remove(c.place)
+		c.place = nil
+	}
+	l.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -32,8 +32,6 @@
 	reservedDescriptors = 700
 	// startupTimeout bounds a caller's startup, in milliseconds; callers give up after 2 s.
 	startupTimeout clock.Millis = 1800
-	// writeTimeout bounds how long a caller may leave its answer unread.
-	writeTimeout = 10 * clock.Second
 	// targetStartupTimeout bounds the startup of a connection at a target, in milliseconds.
 	targetStartupTimeout clock.Millis = 600
 	// staleConnectionTime is how long a target may still count the connections of a daemon that lost power.
@@ -76,6 +74,7 @@
 	control   *controlLoop
 	samples   *sampler
 	server    *relay.Server
+	bounds    *bounds
 	view      atomic.Pointer[view]
 	// storeUp is true while the targets' entries can be read.
 	storeUp atomic.Bool
@@ -124,6 +123,7 @@
 		caches:       map[store.Key]*mirror.Cache{platform.ConfigPrefix: {}, platform.TargetsPrefix: {}, peerPrefix: {}},
 		claims:       make(map[group.ID]observedClaim),
 	}
+	d.bounds = d.newBounds(set)
 	d.eras.OnRestore = d.handleRestore
 	d.gaugeStoreCalls("store-calls", &d.calls)
 	d.Gauge("store-era", func() int64 { return int64(d.eras.Newest()) })
@@ -131,17 +131,16 @@
 	d.promote = platform.Promoter(d.storeConfig(set.Platform.DutyAddress, 0), d.id)
 	d.control = newControlLoop(d)
 	d.view.Store(&view{})
-	d.server = relay.New(relay.Config{
-		MaxSessions:    max(1, set.Limits.Descriptors-reservedDescriptors),
-		StartupTimeout: startupTimeout,
-		WriteTimeout:   writeTimeout,
-	}, d.dependencies(), platform.NewCaller, platform.NewPeer)
+	messages, account := d.bounds.callerLimits(), d.bounds.account
+	d.server = relay.New(d.relayConfig(), d.dependencies(), platform.Callers(messages, account), platform.Peers(messages, account))
 	return d
 }
 
 func (d *Daemon) storeConfig(address string, wait clock.Millis) platform.StoreConfig {
 	return platform.StoreConfig{
 		Address: address, Timeout: d.set.Platform.Timeout, Wait: wait, Dial: socket.Dialer(storeLimits).DialContext,
+		MaxObject: d.bounds.limits.StoreObject * kibibyte, MaxList: d.bounds.limits.StoreList * mebibyte,
+		Cut: func(int) { d.reportRejection("store-object", 0) },
 	}
 }
 
@@ -207,7 +206,7 @@
 			return d.targetDialer.DialContext(ctx, "tcp", address)
 		},
 		EarlyLimitUntil: d.startedAt + staleConnectionTime,
-		Protocol:        platform.NewTarget, StartupTimeout: targetStartupTimeout,
+		Protocol:        platform.Targets(d.bounds.account), StartupTimeout: targetStartupTimeout,
 		OnOpen: func() { d.count("target-connections-opened") },
 	})
 	return newTarget(m, pool, d.clk, d.set.Daemon.Drain-drainMargin)
@@ -288,7 +287,7 @@
 		return fmt.Errorf("listen for mirror clients: %w", err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle(mirror.Handler(d.clk, d.caches))
+	mux.Handle(mirror.Handler(d.clk, d.caches, d.bounds.account))
 	go d.serveHTTP(ctx, l, mux)
 	return nil
 }
--- a/internal/process/edge/meter.go
+++ b/internal/process/edge/meter.go
@@ -123,7 +123,7 @@
 }
 
 func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: requestHeaderTimeout, ErrorLog: zap.NewStdLog(d.log)}
+	l, s := d.limitHTTP(l, h)
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/process/edge/peers.go
+++ b/internal/process/edge/peers.go
@@ -134,7 +134,7 @@
 // connectHome opens a session at a home of the group: a daemon that serves the group for others in its data centre. It returns nil when this daemon has to serve the group itself, because it is a home or found none in time.
 func (d *Daemon) connectHome(ctx context.Context, g group.ID, db topology.Database, w *workspace.Workspace) *relay.Home {
 	v := d.view.Load()
-	if v.config == nil || d.set.Daemon.PeerAddress == "" {
+	if v.config == nil || d.set.Daemon.PeerAddress == "" || !d.hasRoomForHome() {
 		return nil
 	}
 	if d.awaitPeers(ctx) != nil {
@@ -173,13 +173,14 @@
 	if err != nil {
 		return nil, err
 	}
-	w := platform.NewTarget(tcp)
+	w := platform.Targets(d.bounds.account)(tcp)
+	d.countHome(&w)
 	r, err := w.Startup(l, d.clk.Deadline(d.clk.Now()+homeStartupTimeout))
 	if err == nil && r.Code != statement.OK {
 		err = &statement.Refusal{Code: r.Code, Text: r.Text}
 	}
 	if err != nil {
-		_ = tcp.Close() // nothing was sent for a caller
+		_ = w.Close() // nothing was sent for a caller
 		return nil, err
 	}
 	return &relay.Home{ID: p.ID, Wire: w, TCP: tcp}, nil
--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 
@@ -45,10 +46,46 @@
 	ConfigApply clock.Millis `ini:"config-apply" default:"3s" min:"100ms" max:"1m"`
 }
 
-// LimitSettings are the VM's memory, in MiB, and its number of file descriptors.
+// LimitSettings are the VM's memory, in MiB, its number of file descriptors, and what callers may make the daemon retain. A limit of 0
+// has the default of its key.
 type LimitSettings struct {
 	Memory      int `ini:"memory-mb" default:"256" min:"32" max:"1000000"`
 	Descriptors int `ini:"descriptors" default:"4096" min:"256" max:"10000000"`
+	// Sessions is the most sessions at once; 0 derives it from Memory and Descriptors.
+	Sessions int `ini:"sessions" default:"0" min:"0" max:"10000000"`
+	// Message, Startup and SessionState bound a message, a startup message, and the text of a session's values and prepared statements, in KiB.
+	Message      int `ini:"message-kb" default:"1024" min:"16" max:"1024"`
+	Startup      int `ini:"startup-kb" default:"16" min:"1" max:"1024"`
+	SessionState int `ini:"session-state-kb" default:"1024" min:"16" max:"65536"`
+	// Stall is how long a caller may make no progress while memory is short.
+	Stall clock.Millis `ini:"stall" default:"1s" min:"50ms" max:"1m"`
+	// MemoryWait is how long a message waits for memory before it is refused.
+	MemoryWait clock.Millis `ini:"memory-wait" default:"1s" min:"10ms" max:"1m"`
+	// WriteTimeout bounds how long a caller may leave its reply unread.
+	WriteTimeout clock.Millis `ini:"write-timeout" default:"10s" min:"100ms" max:"10m"`
+	// HTTPConnections bounds the connections of each of the health, metrics and mirror addresses, and HTTPHeader the headers of a request, in KiB.
+	HTTPConnections int `ini:"http-connections" default:"128" min:"8" max:"100000"`
+	HTTPHeader      int `ini:"http-header-kb" default:"8" min:"1" max:"1024"`
+	// StoreObject bounds an object of the store besides the configuration, in KiB, and StoreList all objects of one kind, in MiB.
+	StoreObject int `ini:"store-object-kb" default:"64" min:"1" max:"1024"`
+	StoreList   int `ini:"store-list-mb" default:"8" min:"1" max:"1024"`
+}
+
+// withDefaults returns the limits with the defaults of the keys in place of 0.
+func (l LimitSettings) withDefaults() LimitSettings {
+	set := func(v *int, byDefault int) { *v = cmp.Or(*v, byDefault) }
+	wait := func(v *clock.Millis, byDefault clock.Millis) { *v = cmp.Or(*v, byDefault) }
+	set(&l.Message, 1024)
+	set(&l.Startup, 16)
+	set(&l.SessionState, 1024)
+	wait(&l.Stall, clock.Second)
+	wait(&l.MemoryWait, clock.Second)
+	wait(&l.WriteTimeout, 10*clock.Second)
+	set(&l.HTTPConnections, 128)
+	set(&l.HTTPHeader, 8)
+	set(&l.StoreObject, 64)
+	set(&l.StoreList, 8)
+	return l
 }
 
 // FailoverSettings are the times after which a primary counts as failed: by refused connections, by silence, or because no target is known as the primary.
--- a/internal/process/mirror/mirror_test.go
+++ b/internal/process/mirror/mirror_test.go
@@ -152,7 +152,7 @@
 func serve(t *testing.T, c *Cache) (*Client, string) {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(Handler(clock.System(), map[platform.Key]*Cache{"servers/": c}))
+	mux.Handle(Handler(clock.System(), map[platform.Key]*Cache{"servers/": c}, nil))
 	s := httptest.NewServer(mux)
 	t.Cleanup(s.Close)
 	return NewClient((&net.Dialer{}).DialContext), strings.TrimPrefix(s.URL, "http://")
--- a/internal/process/mirror/serve.go
+++ b/internal/process/mirror/serve.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/cactusfork/cactusfork/internal/connection/memory"
 	"github.com/cactusfork/cactusfork/internal/process/mirror/mirrorv1"
 	"github.com/cactusfork/cactusfork/internal/process/mirror/mirrorv1/mirrorv1connect"
 	"github.com/cactusfork/cactusfork/internal/process/platform"
@@ -18,6 +19,8 @@
 const (
 	// maxMessageBytes is the largest message that a client or server accepts; one message holds all objects of a prefix.
 	maxMessageBytes = 16 << 20
+	// maxRequestBytes is the largest request, which holds a prefix and two numbers.
+	maxRequestBytes = 4 << 10
 	// maxWait bounds the wait for a change.
 	maxWait = 10 * clock.Second
 	// responseSlack is how much longer than its wait a response may take before the mirror counts as lost, in milliseconds.
@@ -31,10 +34,23 @@
 var errNoEra = errors.New("mirror does not know the era of its version")
 
 // Handler returns the path and the handler that serve the caches, by prefix, to other daemons.
-func Handler(clk *clock.Clock, caches map[platform.Key]*Cache) (string, http.Handler) {
-	return mirrorv1connect.NewMirrorServiceHandler(&server{clk: clk, caches: caches}, connect.WithReadMaxBytes(maxMessageBytes))
+//
+// Each response draws from the account until it is written.
+func Handler(clk *clock.Clock, caches map[platform.Key]*Cache, account *memory.Account) (string, http.Handler) {
+	path, h := mirrorv1connect.NewMirrorServiceHandler(&server{clk: clk, caches: caches}, connect.WithReadMaxBytes(maxRequestBytes))
+	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		holder := account.Open(0, nil)
+		defer holder.Close()
+		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), holderKey{}, holder)))
+	})
 }
 
+// holderKey is the key of the holder of a response in the context of its request.
+type holderKey struct{}
+
+// responseCopies is how many copies of its objects a response has at once: the message and its encoding.
+const responseCopies = 2
+
 type server struct {
 	clk    *clock.Clock
 	caches map[platform.Key]*Cache
@@ -51,6 +67,13 @@
 	if !ok {
 		return nil, connect.NewError(connect.CodeUnavailable, ErrNotLoaded)
 	}
+	size := 0
+	for i := range r.Objects {
+		size += len(r.Objects[i].Key) + len(r.Objects[i].Value)
+	}
+	if holder, ok := ctx.Value(holderKey{}).(*memory.Holder); ok && holder.Draw(responseCopies*size) != nil {
+		return nil, connect.NewError(connect.CodeResourceExhausted, memory.ErrShort)
+	}
 	res := &mirrorv1.ReadResponse{Version: uint64(r.Version), Whole: r.Full, AgeMs: int64(r.Age), Era: uint64(r.Version.Era())}
 	for _, o := range r.Objects {
 		res.Objects = append(res.Objects, &mirrorv1.Object{Key: string(o.Key), Version: uint64(o.Version), Value: o.Value, Deleted: o.Deleted})
