memory: account for the bytes that callers of serve make it retain

Cause: messages, exchanges, replies, prepared statements, connections and requests of peers and operators had no common bound in the other codec.

Change: [limits] in the settings of serve with memory-mb (default 256). A reader in front of pgproto3 draws the memory of a large message from the account before its body is read. Prepared statements and parameters, replies that wait for the caller, and bodies of requests draw too. Connections beyond the limit are refused one after the other, so that they hold one descriptor. HTTP connections, headers and bodies and the platform's responses are bounded.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -20,6 +21,9 @@
 	"github.com/cactusfork/cactusfork/pkg/event"
 )
 
+// memoryPercent is the share of the memory in the settings that the garbage collector takes as its soft limit.
+const memoryPercent = 60
+
 // maxEvents is how many events of the time line a daemon keeps in memory for operators.
 const maxEvents = 20_000
 
@@ -61,6 +65,7 @@
 	if daemonCfg.Targets.Password, err = readPassword(cfg.Targets.PasswordFile); err != nil {
 		return &inputError{err: err}
 	}
+	debug.SetMemoryLimit(int64(cfg.Limits.Memory) << 20 * memoryPercent / 100)
 	log.Info("daemon serving callers", zap.String("caller-address", cfg.Daemon.CallerAddress))
 	if err := entry.New(&daemonCfg, deps).Run(ctx, context.WithoutCancel(ctx)); err != nil && !errors.Is(err, context.Canceled) {
 		return err
@@ -88,7 +93,7 @@
 		closeTimeline = func() { _ = f.Close() }
 	}
 	deps.Events = event.NewLog(cfg.Daemon.ID, maxEvents, clk, w)
-	deps.Store = platform.Dial(platform.Config{URL: cfg.Platform.URL, Timeout: cfg.Platform.Timeout}, clk)
+	deps.Store = platform.Dial(platform.Config{URL: cfg.Platform.URL, Timeout: cfg.Platform.Timeout, MaxResponse: entry.MaxStoreResponse(cfg)}, clk)
 	listeners := []struct {
 		address string
 		l       *net.Listener
--- a/internal/connection/caller/collect.go
+++ b/internal/connection/caller/collect.go
@@ -29,6 +29,11 @@
 // readExchange reads the caller's messages until the exchange is complete.
 func (c *conn) readExchange() error {
 	c.exchange.reset()
+	c.reply.reset()
+	c.releaseExchange()
+	if err := c.chargeState(); err != nil {
+		return err
+	}
 	for {
 		msg, err := c.backend.Receive()
 		if err != nil {
@@ -135,7 +140,7 @@
 	last := &c.exchange.steps[len(c.exchange.steps)-1]
 	last.name = name
 	s.encoded = append([]byte(nil), c.exchange.bytes(*last)...)
-	c.prepared[name] = s
+	c.setPrepared(name, s)
 	return nil
 }
 
@@ -164,6 +169,6 @@
 		delete(c.portals, m.Name)
 		return c.exchange.add(stepClosePortal, m, nil)
 	}
-	delete(c.prepared, m.Name)
+	c.dropPrepared(m.Name)
 	return c.exchange.add(stepCloseStatement, m, nil)
 }
--- a/internal/connection/caller/conclude.go
+++ b/internal/connection/caller/conclude.go
@@ -130,6 +130,12 @@
 
 // forward writes the held part of the reply to the caller.
 func (c *conn) forward() error {
+	if held := cap(c.reply.buf); held > maxRetainedBytes {
+		if c.holder.Draw(held) != nil {
+			return errCallerGone
+		}
+		defer c.holder.Release(held)
+	}
 	err := c.write(c.reply.buf)
 	c.reply.forwarded = true
 	c.reply.buf = c.reply.buf[:0]
--- a/internal/connection/caller/config.go
+++ b/internal/connection/caller/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/xdg-go/scram"
 
+	"github.com/cactusfork/cactusfork/internal/connection/memory"
 	"github.com/cactusfork/cactusfork/internal/connection/target"
 	"github.com/cactusfork/cactusfork/internal/request/route"
 	"github.com/cactusfork/cactusfork/internal/version/group"
@@ -30,6 +31,10 @@
 	MaxMessageBytes int
 	// MaxExchangeBytes is the longest exchange accepted from a caller; default: 32 MiB.
 	MaxExchangeBytes int
+	// MaxStateBytes bounds what the prepared statements and the parameters of a session take; default: 4 MiB.
+	MaxStateBytes int
+	// Account is the byte account of the daemon, from which sessions draw; nil grants everything.
+	Account *memory.Account
 	// MaxHeldBytes is the size up to which a reply is held back before its rows are forwarded; default: 256 KiB.
 	MaxHeldBytes int
 	// MaxAttempts is the number of leases on which an exchange is tried; default: 3.
@@ -50,6 +55,7 @@
 	defaultMaxConnections         = 1000
 	defaultMaxMessageBytes        = 16 << 20
 	defaultMaxExchangeBytes       = 32 << 20
+	defaultMaxStateBytes          = 4 << 20
 	defaultMaxHeldBytes           = 256 << 10
 	defaultMaxAttempts            = 3
 	defaultStartupTimeout         = 10 * clock.Second
@@ -66,6 +72,7 @@
 	orDefault(&c.MaxConnections, defaultMaxConnections)
 	orDefault(&c.MaxMessageBytes, defaultMaxMessageBytes)
 	orDefault(&c.MaxExchangeBytes, defaultMaxExchangeBytes)
+	orDefault(&c.MaxStateBytes, defaultMaxStateBytes)
 	orDefault(&c.MaxHeldBytes, defaultMaxHeldBytes)
 	orDefault(&c.MaxAttempts, defaultMaxAttempts)
 	orDefault(&c.StartupTimeout, defaultStartupTimeout)
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/cactusfork/cactusfork/internal/connection/memory"
 	"github.com/cactusfork/cactusfork/internal/connection/session"
 	"github.com/cactusfork/cactusfork/internal/request/refusal"
 	"github.com/cactusfork/cactusfork/internal/version/service"
@@ -34,18 +35,24 @@
 
 // conn is one caller's connection. Its own goroutine uses the fields above mu; mu guards the fields below it, and the replacement of netConn, which other goroutines close.
 type conn struct {
-	server   *Server
-	netConn  net.Conn
-	backend  *pgproto3.Backend
-	user     User
-	service  *service.Service
-	session  *session.Session
-	prepared map[string]*preparedStatement
-	portals  map[string]*preparedStatement
-	exchange exchange
-	reply    reply
-	plan     plan
-	tx       transaction
+	server  *Server
+	netConn net.Conn
+	backend *pgproto3.Backend
+	// holder draws the session and its buffers from the account of the daemon, and meter its messages.
+	holder *memory.Holder
+	meter  *messageMeter
+	// preparedBytes is the size of the prepared statements, and stateDrawn what was drawn for them and for parameters.
+	preparedBytes int
+	stateDrawn    int
+	user          User
+	service       *service.Service
+	session       *session.Session
+	prepared      map[string]*preparedStatement
+	portals       map[string]*preparedStatement
+	exchange      exchange
+	reply         reply
+	plan          plan
+	tx            transaction
 	// application is the caller's application_name.
 	application string
 	// reportedFloor is the floor of the last token that was sent to the caller.
@@ -221,6 +228,7 @@
 		if err := c.serveExchange(); err != nil {
 			return
 		}
+		c.holder.Progress()
 	}
 }
 
@@ -282,4 +290,5 @@
 	}
 	c.mu.Unlock()
 	_ = c.netConn.Close()
+	c.holder.Close()
 }
--- a/internal/connection/caller/run.go
+++ b/internal/connection/caller/run.go
@@ -195,7 +195,7 @@
 func (c *conn) dropUnparsed() {
 	for _, s := range c.exchange.steps {
 		if s.kind == stepParse && !s.completed && !s.redefinesName && c.prepared[s.name] == s.stmt {
-			delete(c.prepared, s.name)
+			c.dropPrepared(s.name)
 		}
 	}
 }
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
+	"github.com/cactusfork/cactusfork/internal/connection/memory"
 	"github.com/cactusfork/cactusfork/internal/request/refusal"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 )
@@ -76,17 +76,22 @@
 			}
 			continue
 		}
-		handlers.Go(func() { s.serve(ctx, netConn) })
+		c := s.newConn(netConn)
+		if err := s.register(c); err != nil {
+			// Callers that are refused one after the other hold one descriptor at a time.
+			_ = netConn.SetWriteDeadline(time.Now().Add(refusalTimeout)) // a closed connection fails below
+			c.sendFatal(err)
+			c.shutdown()
+			continue
+		}
+		handlers.Go(func() { s.serve(ctx, c) })
 	}
 }
 
-func (s *Server) serve(ctx context.Context, netConn net.Conn) {
-	c := s.newConn(netConn)
-	if err := s.register(c); err != nil {
-		c.sendFatal(err)
-		c.shutdown()
-		return
-	}
+// refusalTimeout bounds the write of a refusal to a new connection, whose buffers are empty.
+const refusalTimeout = 50 * time.Millisecond
+
+func (s *Server) serve(ctx context.Context, c *conn) {
 	defer s.unregister(c)
 	c.serve(ctx)
 }
@@ -95,12 +100,12 @@
 	c := &conn{
 		server:     s,
 		netConn:    netConn,
-		backend:    pgproto3.NewBackend(netConn, netConn),
 		prepared:   map[string]*preparedStatement{},
 		portals:    map[string]*preparedStatement{},
 		phaseSince: s.cfg.Clock.Now(),
 	}
-	c.backend.SetMaxBodyLen(s.cfg.MaxMessageBytes)
+	c.holder = s.cfg.Account.Open(memory.SessionBytes, func() { _ = netConn.Close() })
+	c.backend = c.newBackend(netConn)
 	return c
 }
 
--- a/internal/connection/caller/settle.go
+++ b/internal/connection/caller/settle.go
@@ -111,6 +111,7 @@
 	if rep.deallocatedAll {
 		t.ClearPrepared()
 		clear(c.prepared)
+		c.preparedBytes = 0
 	}
 	settings := c.session.Settings()
 	if stmt, ok := c.exchange.single(); ok && !rep.hasError {
--- a/internal/connection/caller/startup.go
+++ b/internal/connection/caller/startup.go
@@ -67,6 +67,7 @@
 	if err := c.applyParameters(parameters); err != nil {
 		return err
 	}
+	c.backend.SetMaxBodyLen(c.server.cfg.MaxMessageBytes)
 	return c.completeLogin(minor, parameters)
 }
 
@@ -131,8 +132,7 @@
 	c.mu.Lock()
 	c.netConn = tlsConn
 	c.mu.Unlock()
-	c.backend = pgproto3.NewBackend(tlsConn, tlsConn)
-	c.backend.SetMaxBodyLen(c.server.cfg.MaxMessageBytes)
+	c.backend = c.newBackend(tlsConn)
 	return true, nil
 }
 
--- a/internal/connection/session/settings.go
+++ b/internal/connection/session/settings.go
@@ -56,6 +56,15 @@
 // the same state are interchangeable.
 func (s *Settings) State() string { return s.state }
 
+// Size returns how many bytes the parameters take: as statements, and joined in the state.
+func (s *Settings) Size() int {
+	size := 2 * len(s.state)
+	for i := range s.pending {
+		size += len(s.pending[i].name) + len(s.pending[i].sql)
+	}
+	return size
+}
+
 func (s *Settings) apply(list []parameterChange) {
 	if s.statements == nil {
 		s.statements = map[string]string{}
--- a/internal/process/entry/admin.go
+++ b/internal/process/entry/admin.go
@@ -55,7 +55,7 @@
 }
 
 func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, h http.Handler, tlsCfg tlsConfig) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: tlsCfg, ErrorLog: zap.NewStdLog(d.deps.Log)}
+	l, s := d.limitHTTP(l, h, tlsCfg)
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	var err error
--- a/internal/process/entry/daemon.go
+++ b/internal/process/entry/daemon.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusfork/cactusfork/internal/connection/caller"
+	"github.com/cactusfork/cactusfork/internal/connection/memory"
 	"github.com/cactusfork/cactusfork/internal/process/config"
 	"github.com/cactusfork/cactusfork/internal/process/control"
 	"github.com/cactusfork/cactusfork/internal/process/peer"
@@ -47,6 +48,7 @@
 	Callers      caller.Config
 	Probe        probe.Settings
 	Machine      group.Settings
+	Memory       MemoryConfig
 	Period       clock.Millis // time between two heartbeats
 	StoreTimeout clock.Millis // timeout of one call to the platform
 	Watchers     int          // daemons per data centre that watch the platform
@@ -82,7 +84,11 @@
 	router  *router
 	server  *caller.Server
 	meter   *meter
-	ready   atomic.Bool
+	// account is the byte account; nil without a limit.
+	account *memory.Account
+	// rejections counts and logs callers that were rejected.
+	rejections *rejections
+	ready      atomic.Bool
 	// draining is never reset, even if ready is set after it.
 	draining  atomic.Bool
 	lastPeers peerSet
@@ -105,7 +111,10 @@
 		Wrap:         d.wrapCalls,
 	}, deps.Clock, d.peerDependencies())
 	d.router = &router{clk: deps.Clock, loop: d.loop, targets: d.targets, policy: cfg.Policy, dataCentre: cfg.DataCentre, meter: d.meter, replicaWait: cfg.ReplicaWait, retries: newRetries(deps.Clock)}
-	d.server = caller.New(cfg.Callers, d.callerDependencies())
+	callers := cfg.Callers
+	d.account = d.newAccount()
+	callers.Account = d.account
+	d.server = caller.New(callers, d.callerDependencies())
 	return d
 }
 
--- a/internal/process/entry/defaults.go
+++ b/internal/process/entry/defaults.go
@@ -49,6 +49,7 @@
 	cfg.Targets.Queue = s.Callers.Queue
 	cfg.ReplicaWait = s.Targets.ReplicaWait
 	cfg.Callers.MaxConnections = s.Callers.MaxConnections
+	memoryFromSettings(&cfg, s)
 	cfg.Callers.RequestTimeout = s.Callers.RequestTimeout
 	cfg.Callers.DrainTimeout = max(s.Callers.Drain, 1)
 	cfg.Notice = s.Callers.Notice
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -15,6 +15,29 @@
 	Peers    Peers
 	Failover Failover
 	Log      Log
+	Limits   Limits
+}
+
+// Limits bounds what others can make the daemon retain.
+type Limits struct {
+	// Memory is the memory that the daemon may use, in MiB.
+	Memory int `ini:"memory-mb" default:"256" min:"32" max:"1000000"`
+	// Message bounds a message, Exchange the messages up to a Sync, and SessionState the prepared statements and parameters of a session, in KiB.
+	Message      int `ini:"message-kb" default:"16384" min:"16" max:"1048576"`
+	Exchange     int `ini:"exchange-kb" default:"32768" min:"16" max:"1048576"`
+	SessionState int `ini:"session-state-kb" default:"4096" min:"16" max:"1048576"`
+	// Stall is how long a caller may make no progress while memory is short.
+	Stall clock.Millis `ini:"stall" default:"1s" min:"50ms" max:"1m"`
+	// MemoryWait is how long a message waits for memory before it is refused.
+	MemoryWait clock.Millis `ini:"memory-wait" default:"1s" min:"10ms" max:"1m"`
+	// WriteTimeout bounds how long a caller may leave its reply unread.
+	WriteTimeout clock.Millis `ini:"write-timeout" default:"20s" min:"100ms" max:"10m"`
+	// HTTPConnections bounds the connections of each of the peer and admin addresses; 0 means a fifteenth of the callers' connections.
+	HTTPConnections int `ini:"http-connections" default:"0" min:"0" max:"100000"`
+	// HTTPHeader bounds the headers of a request, in KiB.
+	HTTPHeader int `ini:"http-header-kb" default:"16" min:"1" max:"1024"`
+	// StoreResponse bounds a response of the platform, in MiB; 0 means an eighth of Memory, at most 64.
+	StoreResponse int `ini:"store-response-mb" default:"0" min:"0" max:"1024"`
 }
 
 // Daemon is the identity of the daemon and the addresses that it listens on.
