--- a/internal/overload/edge_test.go
+++ b/internal/overload/edge_test.go
@@ -78,7 +78,7 @@
 			if _, err := c.Write(statement); err != nil {
 				return
 			}
-			if readUntil(c, "READY", new(bytes.Buffer)) != nil {
+			if readReply(c) != nil {
 				return
 			}
 		}
@@ -174,7 +174,7 @@
 				if _, err := fmt.Fprintf(c, "QUERY q%d %s\r\n", i, text); err != nil {
 					return
 				}
-				if readUntil(c, "READY", new(bytes.Buffer)) != nil {
+				if readReply(c) != nil {
 					linger(c)
 					return
 				}
@@ -210,7 +210,7 @@
 		if _, err := io.WriteString(c, "STARTUP entries cactusfork\r\n"); err != nil {
 			return false
 		}
-		return readUntil(c, "READY", new(bytes.Buffer)) == nil
+		return readReply(c) == nil
 	}
 	together(t, func(t *testing.T) {
 		t.Helper()
--- a/internal/overload/harness_test.go
+++ b/internal/overload/harness_test.go
@@ -316,11 +316,12 @@
 	if _, err := io.WriteString(c, "STARTUP entries someone\r\n"); err != nil {
 		return false
 	}
-	return readUntil(c, "READY", new(bytes.Buffer)) == nil
+	return readReply(c) == nil
 }
 
-// readUntil reads, byte blocks at most as large as a line of a reply, until a line begins with the keyword.
-func readUntil(c net.Conn, keyword string, got *bytes.Buffer) error {
+// readReply reads a reply to its end. It keeps only the last bytes, which may hold a part of a keyword.
+func readReply(c net.Conn) error {
+	var got bytes.Buffer
 	block := make([]byte, 4<<10)
 	for {
 		n, err := c.Read(block)
@@ -329,13 +330,12 @@
 		}
 		got.Write(block[:n])
 		text := got.Bytes()
-		if i := bytes.Index(text, []byte(keyword)); i >= 0 && bytes.IndexByte(text[i:], '\n') > 0 {
+		if i := bytes.Index(text, []byte("READY")); i >= 0 && bytes.IndexByte(text[i:], '\n') > 0 {
 			return nil
 		}
 		if bytes.Contains(text, []byte("ERROR ")) {
 			return errRefused
 		}
-		// Only the end can hold a part of the keyword.
 		if got.Len() > 64<<10 {
 			tail := append([]byte(nil), text[got.Len()-64:]...)
 			got.Reset()
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -242,7 +242,7 @@
 	go d.followConfig(inner)
 	go d.followTargets(inner)
 	go d.keepHolders(inner)
-	go d.serveHTTP(inner, health, http.HandlerFunc(d.health))
+	go d.serveHTTP(inner, health, http.HandlerFunc(d.health), d.bounds.limits.HTTPConnections)
 	if d.set.Daemon.MetricsAddress != "" {
 		go d.serveMetrics(inner)
 	}
@@ -288,7 +288,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(mirror.Handler(d.clk, d.caches, d.bounds.account))
-	go d.serveHTTP(ctx, l, mux)
+	go d.serveHTTP(ctx, l, mux, d.bounds.limits.MirrorConnections)
 	return nil
 }
 
--- a/internal/process/edge/memory.go
+++ b/internal/process/edge/memory.go
@@ -111,9 +111,9 @@
 	return d.server.Len()+int(d.bounds.homes.Load()) < d.bounds.limits.Sessions
 }
 
-// limitHTTP returns the listener and the server of one HTTP address, with their limits.
-func (d *Daemon) limitHTTP(l net.Listener, h http.Handler) (net.Listener, *http.Server) {
-	l = socket.LimitListener(l, d.bounds.limits.HTTPConnections, func() { d.reportRejection("http", 0) })
+// limitHTTP returns the listener and the server of one HTTP address with up to n connections.
+func (d *Daemon) limitHTTP(l net.Listener, h http.Handler, n int) (net.Listener, *http.Server) {
+	l = socket.LimitListener(l, n, func() { d.reportRejection("http", 0) })
 	return l, &http.Server{
 		Handler: http.MaxBytesHandler(h, maxRequestBytes), MaxHeaderBytes: d.bounds.limits.HTTPHeader * kibibyte,
 		ReadHeaderTimeout: requestHeaderTimeout, ReadTimeout: requestTimeout, WriteTimeout: responseTimeout, IdleTimeout: idleTimeout,
