edge: let mirror connections beyond the reserved ones count as sessions

Cause: connections to the mirror address grow with the fleet; a fixed limit of 256 would close those of larger fleets in turns. Change: the limit is a quarter of the descriptors by default, and connections beyond 256 take descriptors of sessions.

--- a/internal/connection/relay/server.go
+++ b/internal/connection/relay/server.go
@@ -22,8 +22,8 @@
 	WriteTimeout clock.Millis
 	// MaxSetupBytes bounds the text of the values and prepared statements of a session; 0 means no limit.
 	MaxSetupBytes int
-	// Homes returns the number of connections to home daemons, which count as sessions; nil means none.
-	Homes func() int
+	// Others returns the number of other connections that count as sessions, such as those to home daemons; nil means none.
+	Others func() int
 	// SessionRejected is called for each connection beyond MaxSessions; it may be nil.
 	SessionRejected func()
 }
@@ -95,7 +95,7 @@
 	s.mu.Lock()
 	s.lastID++
 	c.id = s.lastID
-	if len(s.sessions)+s.homes() >= s.cfg.MaxSessions {
+	if len(s.sessions)+s.others() >= s.cfg.MaxSessions {
 		s.mu.Unlock()
 		_ = c.wire.Close() // more than MaxSessions; the caller can connect to another daemon
 		if s.cfg.SessionRejected != nil {
@@ -115,11 +115,11 @@
 	}()
 }
 
-func (s *Server) homes() int {
-	if s.cfg.Homes == nil {
+func (s *Server) others() int {
+	if s.cfg.Others == nil {
 		return 0
 	}
-	return s.cfg.Homes()
+	return s.cfg.Others()
 }
 
 // Len returns the number of sessions.
--- a/internal/connection/socket/limit.go
+++ b/internal/connection/socket/limit.go
@@ -7,8 +7,8 @@
 	"sync"
 )
 
-// limitListener keeps at most limit of its connections open.
-type limitListener struct {
+// LimitedListener keeps at most limit of its connections open.
+type LimitedListener struct {
 	net.Listener
 	limit int
 	// onClose is called for each connection that was closed for another one.
@@ -21,12 +21,19 @@
 
 // LimitListener returns a listener that keeps at most limit of its connections open. It closes the oldest one in favour of a new one,
 // so that connections that stay open without a request keep nobody out.
-func LimitListener(l net.Listener, limit int, onClose func()) net.Listener {
-	return &limitListener{Listener: l, limit: limit, onClose: onClose, open: list.New()}
+func LimitListener(l net.Listener, limit int, onClose func()) *LimitedListener {
+	return &LimitedListener{Listener: l, limit: limit, onClose: onClose, open: list.New()}
+}
+
+// Len returns the number of open connections.
+func (l *LimitedListener) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open.Len()
 }
 
 // Accept waits for the next connection.
-func (l *limitListener) Accept() (net.Conn, error) {
+func (l *LimitedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, fmt.Errorf("accept: %w", err)
@@ -46,10 +53,10 @@
 	return c, nil
 }
 
-// limitedConn is a connection of a limitListener.
+// limitedConn is a connection of a LimitedListener.
 type limitedConn struct {
 	net.Conn
-	listener *limitListener
+	listener *LimitedListener
 	// place is nil once the connection is closed; the listener's mu guards it.
 	place *list.Element
 }
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -242,7 +242,7 @@
 	go d.followConfig(inner)
 	go d.followTargets(inner)
 	go d.keepHolders(inner)
-	go d.serveHTTP(inner, health, http.HandlerFunc(d.health), d.bounds.limits.HTTPConnections)
+	go d.serveHTTP(inner, d.limitListener(health, d.bounds.limits.HTTPConnections), http.HandlerFunc(d.health))
 	if d.set.Daemon.MetricsAddress != "" {
 		go d.serveMetrics(inner)
 	}
@@ -288,7 +288,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(mirror.Handler(d.clk, d.caches, d.bounds.account))
-	go d.serveHTTP(ctx, l, mux, d.bounds.limits.MirrorConnections)
+	limited := d.limitListener(l, d.bounds.limits.MirrorConnections)
+	d.bounds.mirror.Store(limited)
+	go d.serveHTTP(ctx, limited, mux)
 	return nil
 }
 
--- a/internal/process/edge/memory.go
+++ b/internal/process/edge/memory.go
@@ -28,6 +28,9 @@
 	idleTimeout     = 30 * time.Second
 	// maxRequestBytes bounds the body of a request over HTTP. Requests to the mirror have about 100 bytes.
 	maxRequestBytes = 16 * kibibyte
+	// reservedMirrorConnections is the part of the reserved descriptors for connections to the mirror address. Each of 60 daemons of a data
+	// centre has up to three.
+	reservedMirrorConnections = 256
 )
 
 // bounds holds what limits the memory and the descriptors that callers make the daemon retain.
@@ -35,6 +38,8 @@
 	account *memory.Account
 	// limits are the settings with their defaults.
 	limits LimitSettings
+	// mirror is the listener of the mirror address; nil before it listens.
+	mirror atomic.Pointer[socket.LimitedListener]
 	// homes is the number of connections to home daemons. They take descriptors as sessions do.
 	homes atomic.Int64
 	// logged holds when a rejection was last logged, by kind, and how many were not logged since; mu guards both.
@@ -47,6 +52,9 @@
 	l := memory.LimitsFor(set.Limits.Memory)
 	b := &bounds{limits: set.Limits.withDefaults(), logged: make(map[string]clock.Millis), skipped: make(map[string]int)}
 	l.Stall, l.Wait = b.limits.Stall, b.limits.MemoryWait
+	if b.limits.MirrorConnections == 0 {
+		b.limits.MirrorConnections = max(reservedMirrorConnections, set.Limits.Descriptors/4)
+	}
 	if b.limits.Sessions == 0 {
 		b.limits.Sessions = max(1, min(set.Limits.Descriptors-reservedDescriptors, l.MaxSessions()))
 	}
@@ -68,7 +76,7 @@
 		StartupTimeout:  startupTimeout,
 		WriteTimeout:    l.WriteTimeout,
 		MaxSetupBytes:   l.SessionState * kibibyte,
-		Homes:           func() int { return int(d.bounds.homes.Load()) },
+		Others:          d.bounds.others,
 		SessionRejected: func() { d.reportRejection("sessions", 0) },
 	}
 }
@@ -106,15 +114,29 @@
 	}
 }
 
+// others returns the number of connections that take descriptors of sessions: those to home daemons, and those to the mirror address
+// beyond the reserved ones.
+func (b *bounds) others() int {
+	n := int(b.homes.Load())
+	if l := b.mirror.Load(); l != nil {
+		n += max(0, l.Len()-reservedMirrorConnections)
+	}
+	return n
+}
+
 // hasRoomForHome reports whether the descriptors allow a connection to a home daemon.
 func (d *Daemon) hasRoomForHome() bool {
-	return d.server.Len()+int(d.bounds.homes.Load()) < d.bounds.limits.Sessions
+	return d.server.Len()+d.bounds.others() < d.bounds.limits.Sessions
+}
+
+// limitListener limits the connections of an HTTP address to n.
+func (d *Daemon) limitListener(l net.Listener, n int) *socket.LimitedListener {
+	return socket.LimitListener(l, n, func() { d.reportRejection("http", 0) })
 }
 
-// limitHTTP returns the listener and the server of one HTTP address with up to n connections.
-func (d *Daemon) limitHTTP(l net.Listener, h http.Handler, n int) (net.Listener, *http.Server) {
-	l = socket.LimitListener(l, n, func() { d.reportRejection("http", 0) })
-	return l, &http.Server{
+// newHTTPServer returns a server with the limits of requests.
+func (d *Daemon) newHTTPServer(h http.Handler) *http.Server {
+	return &http.Server{
 		Handler: http.MaxBytesHandler(h, maxRequestBytes), MaxHeaderBytes: d.bounds.limits.HTTPHeader * kibibyte,
 		ReadHeaderTimeout: requestHeaderTimeout, ReadTimeout: requestTimeout, WriteTimeout: responseTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(d.log),
--- a/internal/process/edge/meter.go
+++ b/internal/process/edge/meter.go
@@ -104,7 +104,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", d.writeMetrics)
-	d.serveHTTP(ctx, l, mux, d.bounds.limits.HTTPConnections)
+	d.serveHTTP(ctx, d.limitListener(l, d.bounds.limits.HTTPConnections), mux)
 }
 
 // writeMetrics writes all metrics as lines of a name and a value; histograms give count and percentiles.
@@ -122,9 +122,8 @@
 	})
 }
 
-// serveHTTP serves an address with up to n connections until ctx ends.
-func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, h http.Handler, n int) {
-	l, s := d.limitHTTP(l, h, n)
+func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, h http.Handler) {
+	s := d.newHTTPServer(h)
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -63,10 +63,10 @@
 	MemoryWait clock.Millis `ini:"memory-wait" default:"1s" min:"10ms" max:"1m"`
 	// WriteTimeout bounds how long a caller may leave its reply unread.
 	WriteTimeout clock.Millis `ini:"write-timeout" default:"10s" min:"100ms" max:"10m"`
-	// HTTPConnections bounds the connections of each of the health and metrics addresses, MirrorConnections those of the mirror address,
-	// and HTTPHeader the headers of a request, in KiB. Each of 60 daemons of a data centre has up to three connections to a mirror.
+	// HTTPConnections bounds the connections of each of the health and metrics addresses, MirrorConnections those of the mirror address (0
+	// derives it from Descriptors), and HTTPHeader the headers of a request, in KiB.
 	HTTPConnections   int `ini:"http-connections" default:"64" min:"8" max:"100000"`
-	MirrorConnections int `ini:"mirror-connections" default:"256" min:"8" max:"100000"`
+	MirrorConnections int `ini:"mirror-connections" default:"0" min:"0" max:"100000"`
 	HTTPHeader        int `ini:"http-header-kb" default:"8" min:"1" max:"1024"`
 	// StoreObject bounds an object of the store besides the configuration, in KiB, and StoreList all objects of one kind, in MiB.
 	StoreObject int `ini:"store-object-kb" default:"64" min:"1" max:"1024"`
@@ -84,7 +84,6 @@
 	wait(&l.MemoryWait, clock.Second)
 	wait(&l.WriteTimeout, 10*clock.Second)
 	set(&l.HTTPConnections, 64)
-	set(&l.MirrorConnections, 256)
 	set(&l.HTTPHeader, 8)
 	set(&l.StoreObject, 64)
 	set(&l.StoreList, 8)
