--- a/internal/process/entry/memory.go
+++ b/internal/process/entry/memory.go
@@ -83,7 +83,8 @@
 		r.skipped++
 		return
 	}
-	r.d.deps.Log.Warn("caller rejected", zap.String("kind", kind), zap.Int64("bytes", bytes), zap.Int("not-logged", r.skipped))
+	// The log may block, and the account is locked here.
+	go r.d.deps.Log.Warn("caller rejected", zap.String("kind", kind), zap.Int64("bytes", bytes), zap.Int("not-logged", r.skipped))
 	r.logged, r.skipped = now, 0
 }
 
