--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -33,8 +33,6 @@
 	reservedDescriptors = 700
 	// startupTimeout bounds a caller's startup, in milliseconds; callers give up after 2 s.
 	startupTimeout clock.Millis = 1800
-	// writeTimeout bounds how long a caller may leave its answer unread.
-	writeTimeout = 10 * clock.Second
 	// targetStartupTimeout bounds the startup of a connection at a target, in milliseconds.
 	targetStartupTimeout clock.Millis = 600
 	// staleConnectionTime is how long a target may still count the connections of a daemon that lost power.
@@ -77,6 +75,7 @@
 	control   *controlLoop
 	samples   *sampler
 	server    *relay.Server
+	bounds    *bounds
 	view      atomic.Pointer[view]
 	// storeUp is true while the targets' entries can be read. storeSince is the time since which they can, as clock.Millis; 0 while they
 	// cannot.
@@ -131,6 +130,7 @@
 		claims:       make(map[group.ID]observedClaim),
 		terms:        newTermRecord(),
 	}
+	d.bounds = d.newBounds(set)
 	d.eras.OnRestore = d.handleRestore
 	d.Gauge("placement-imbalance", d.imbalance)
 	d.gaugeStoreCalls("store-calls", &d.calls)
@@ -140,17 +140,16 @@
 	d.control = newControlLoop(d)
 	d.quota = newQuotas(d)
 	d.view.Store(&view{})
-	d.server = relay.New(relay.Config{
-		MaxSessions:    max(1, set.Limits.Descriptors-reservedDescriptors),
-		StartupTimeout: startupTimeout,
-		WriteTimeout:   writeTimeout,
-	}, d.dependencies(), platform.NewCaller, platform.NewPeer)
+	messages, account := d.bounds.callerLimits(), d.bounds.account
+	d.server = relay.New(d.relayConfig(), d.dependencies(), platform.Callers(messages, account), platform.Peers(messages, account))
 	return d
 }
 
 func (d *Daemon) storeConfig(address string, wait clock.Millis) platform.StoreConfig {
 	return platform.StoreConfig{
 		Address: address, Timeout: d.set.Platform.Timeout, Wait: wait, Dial: socket.Dialer(storeLimits).DialContext,
+		MaxObject: d.bounds.limits.StoreObject * kibibyte, MaxList: d.bounds.limits.StoreList * mebibyte,
+		Cut: func(int) { d.reportRejection("store-object", 0) },
 	}
 }
 
@@ -217,7 +216,7 @@
 			return d.targetDialer.DialContext(ctx, "tcp", address)
 		},
 		EarlyLimitUntil: d.startedAt + staleConnectionTime,
-		Protocol:        platform.NewTarget, StartupTimeout: targetStartupTimeout,
+		Protocol:        platform.Targets(d.bounds.account), StartupTimeout: targetStartupTimeout,
 		OnOpen: func() { d.count("target-connections-opened") },
 	})
 	t := newTarget(m, pool, d.clk, d.set.Daemon.Drain-drainMargin)
@@ -256,7 +255,7 @@
 	go d.followTargets(inner)
 	go d.keepHolders(inner)
 	go d.keepTerms(inner)
-	go d.serveHTTP(inner, health, http.HandlerFunc(d.health))
+	go d.serveHTTP(inner, d.limitListener(health, d.bounds.limits.HTTPConnections), http.HandlerFunc(d.health))
 	if d.set.Daemon.MetricsAddress != "" {
 		go d.serveMetrics(inner)
 	}
@@ -301,9 +300,11 @@
 		return fmt.Errorf("listen for mirror clients: %w", err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle(mirror.Handler(d.clk, d.caches))
+	mux.Handle(mirror.Handler(d.clk, d.caches, d.bounds.account))
 	mux.Handle(quota.Handler(d.quota.issuer))
-	go d.serveHTTP(ctx, l, mux)
+	limited := d.limitListener(l, d.bounds.limits.MirrorConnections)
+	d.bounds.mirror.Store(limited)
+	go d.serveHTTP(ctx, limited, mux)
 	return nil
 }
 
--- a/internal/process/edge/meter.go
+++ b/internal/process/edge/meter.go
@@ -105,7 +105,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", d.writeMetrics)
 	mux.HandleFunc("GET /workspaces", d.writeWorkspaces)
-	d.serveHTTP(ctx, l, mux)
+	d.serveHTTP(ctx, d.limitListener(l, d.bounds.limits.HTTPConnections), mux)
 }
 
 // writeMetrics writes all metrics as lines of a name and a value; histograms give count and percentiles.
@@ -124,7 +124,7 @@
 }
 
 func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: requestHeaderTimeout, ErrorLog: zap.NewStdLog(d.log)}
+	s := d.newHTTPServer(h)
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
