admission: refuse costly statements earlier at a full target

Cause: at a full target one statement of a route with much work takes the place of several others, and nobody weighed that. Change: each daemon keeps the usual work of a route as a multiple of the mean at its targets; the longest expected wait with which an item is accepted is divided by it.

--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -77,7 +77,7 @@
 	e.outcome = Outcome{
 		Session: s.id, ID: st.ID, Database: s.database, Workspace: s.workspaceID(), Route: r, Verb: st.Verb, Writes: e.writes, Arrived: e.asOf,
 	}
-	e.req = LeaseRequest{Group: r.Group, Workspace: s.workspaceID(), Values: &s.values, Priority: r.Priority, Writes: e.writes, SoftDeadline: e.asOf + r.LatencyObjective, Deadline: e.deadline}
+	e.req = LeaseRequest{Group: r.Group, Workspace: s.workspaceID(), Values: &s.values, Priority: r.Priority, Route: r.Name, Writes: e.writes, SoftDeadline: e.asOf + r.LatencyObjective, Deadline: e.deadline}
 	return e, true
 }
 
@@ -224,7 +224,8 @@
 	if err != nil {
 		return e.handleConnError(l, err)
 	}
-	e.s.deps().TargetReplied(e.req.Group, l.Target, &reply, e.s.now()-sentAt)
+	e.outcome.Latency = e.s.now() - sentAt
+	e.s.deps().TargetReplied(e.req.Group, l.Target, &reply, e.outcome.Latency)
 	if !reply.Completed {
 		return e.handleErrorReply(l, &reply)
 	}
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -64,6 +64,8 @@
 	Writes bool
 	// Stage says what the statement is to a transaction.
 	Stage admission.Stage
+	// Route is the name of the route.
+	Route string
 	// SoftDeadline is the time until which a reply has its full value for the caller.
 	SoftDeadline clock.Millis
 	// Deadline is the time until which the caller waits for a reply.
@@ -142,6 +144,8 @@
 	Target group.TargetID
 	// Primary is true if the target was the primary of the group.
 	Primary bool
+	// Latency is how long the target took for the last attempt; 0 if it did not answer one.
+	Latency clock.Millis
 	// Floor is the point that the log of the target had to hold.
 	Floor    position.Point
 	Attempts int
--- a/internal/connection/relay/transaction.go
+++ b/internal/connection/relay/transaction.go
@@ -86,7 +86,8 @@
 			e.endTransaction(err, e.st.Verb == statement.Commit && e.s.tx.wrote)
 			return
 		}
-		e.s.deps().TargetReplied(e.req.Group, l.Target, &reply, e.s.now()-sentAt)
+		e.outcome.Latency = e.s.now() - sentAt
+		e.s.deps().TargetReplied(e.req.Group, l.Target, &reply, e.outcome.Latency)
 		if reply.Completed {
 			e.completeInTransaction(l, &reply)
 			return
--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -218,6 +218,11 @@
 	}
 	c.d.log.Info("configuration applied", zap.Uint64("version", uint64(cfg.Version)), zap.Int("routes", len(cfg.Routes)))
 	c.config = cfg
+	routes := make(map[string]bool, len(cfg.Routes))
+	for _, r := range cfg.Routes {
+		routes[r.Name] = true
+	}
+	c.d.costs.Keep(func(route string) bool { return routes[route] })
 	c.d.logWorkspaces(cfg)
 	c.recheckSessions = cfg.Workspaces != nil
 }
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/cactusfork/cactusfork/internal/process/mirror"
 	store "github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/internal/process/quota"
+	"github.com/cactusfork/cactusfork/internal/request/admission"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/promotion"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
@@ -96,6 +97,8 @@
 	mirrors *mirror.Client
 	caches  map[store.Key]*mirror.Cache
 	quota   *quotas
+	// costs holds the usual work of each route.
+	costs *admission.Costs
 
 	// startedAt is when Run began.
 	startedAt clock.Millis
@@ -129,6 +132,7 @@
 		caches:       map[store.Key]*mirror.Cache{platform.ConfigPrefix: {}, platform.TargetsPrefix: {}, peerPrefix: {}},
 		claims:       make(map[group.ID]observedClaim),
 		terms:        newTermRecord(),
+		costs:        admission.NewCosts(),
 	}
 	d.bounds = d.newBounds(set)
 	d.eras.OnRestore = d.handleRestore
@@ -220,6 +224,7 @@
 		OnOpen: func() { d.count("target-connections-opened") },
 	})
 	t := newTarget(m, pool, d.clk, d.set.Daemon.Drain-drainMargin)
+	t.costs = d.costs
 	t.startNew(d.startedAt)
 	return t
 }
--- a/internal/process/edge/meter.go
+++ b/internal/process/edge/meter.go
@@ -59,6 +59,11 @@
 	}
 	d.count(name + "-" + o.Code.String())
 	d.observe(name+"-ms", int64(took))
+	if o.Latency > 0 && o.Code == statement.OK && o.Verb != statement.Commit && o.Route != nil {
+		if t := d.view.Load().findTarget(o.Route.Group, o.Target); t != nil {
+			d.costs.Observe(o.Route.Name, float64(o.Latency), t.meanLatency())
+		}
+	}
 	if o.Target != "" && o.Code == statement.OK && !o.Primary {
 		d.count("statements-by-replica")
 	}
--- a/internal/process/edge/target.go
+++ b/internal/process/edge/target.go
@@ -68,6 +68,8 @@
 	leavingSince clock.Millis
 	// drainLimit is how long after leavingSince the target may get work.
 	drainLimit clock.Millis
+	// costs holds the usual work of each route.
+	costs *admission.Costs
 	// usage measures this daemon's statements at the target, and choosers is how many daemons choose among the targets of the group.
 	usage    placement.Usage
 	choosers int
@@ -77,7 +79,7 @@
 }
 
 func newTarget(m *topology.Target, pool *link.Pool, clk *clock.Clock, drainLimit clock.Millis) *target {
-	t := &target{drainLimit: drainLimit, pool: pool, gate: admission.NewGate(clk, m.Slots, queueCapacity), clk: clk, latency: initialLatency}
+	t := &target{costs: admission.NewCosts(), drainLimit: drainLimit, pool: pool, gate: admission.NewGate(clk, m.Slots, queueCapacity), clk: clk, latency: initialLatency}
 	t.meta.Store(m)
 	return t
 }
@@ -213,7 +215,7 @@
 		startBy = 0
 	}
 	release, err := t.gate.Acquire(ctx, admission.Request{
-		Weight: max(1, maxWeight-req.Priority), Kind: kind, Workspace: req.Workspace, Stage: req.Stage, StartBy: startBy, Deadline: req.Deadline - latency, ExpectedDuration: latency,
+		Weight: max(1, maxWeight-req.Priority), Kind: kind, Workspace: req.Workspace, Stage: req.Stage, Cost: t.costs.Of(req.Route), StartBy: startBy, Deadline: req.Deadline - latency, ExpectedDuration: latency,
 	})
 	if err != nil {
 		return nil, &statement.Refusal{Code: statement.Busy, Text: err.Error() + ", come back in 100 ms"}
@@ -228,6 +230,13 @@
 	return clock.Millis(t.decayedLatency(now))
 }
 
+// meanLatency returns the moving average of the latencies of statements at the target, in milliseconds.
+func (t *target) meanLatency() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.latency
+}
+
 // decayedLatency returns the latency estimate in milliseconds. It decays while no reply confirms it, so that a target that was slow is tried again. The caller holds t.mu.
 func (t *target) decayedLatency(now clock.Millis) float64 {
 	return max(minLatency, t.latency/float64(1+max(0, now-t.repliedAt)/latencyDecayTime))
--- a/internal/request/admission/gate.go
+++ b/internal/request/admission/gate.go
@@ -19,6 +19,8 @@
 	// Workspace is the workspace of the request; it is empty without one.
 	Workspace workspace.ID
 	Stage     Stage
+	// Cost is the usual work of the request, as in Item.
+	Cost float64
 	// StartBy is the latest start at which the request keeps its full value; 0 means that it is never late.
 	StartBy clock.Millis
 	// Deadline is the time from which the request is no longer worth running; 0 means never.
@@ -87,7 +89,7 @@
 func (g *Gate) tryAcquire(now clock.Millis, req Request) (ID, chan error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	i := Item{Weight: req.Weight, Kind: req.Kind, Workspace: req.Workspace, Stage: req.Stage, StartBy: req.StartBy, Deadline: req.Deadline}
+	i := Item{Weight: req.Weight, Kind: req.Kind, Workspace: req.Workspace, Stage: req.Stage, Cost: req.Cost, StartBy: req.StartBy, Deadline: req.Deadline}
 	if g.busy < g.slots && g.queue.Len() == 0 && !i.expired(now) {
 		g.acquireSlot(req.Kind)
 		return 0, nil
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -49,6 +49,9 @@
 	Deadline clock.Millis
 	Kind     Kind
 	Stage    Stage
+	// Cost is the usual work of the item, as a multiple of the mean at its target; 0 means that it is not known. An item of more work
+	// than the mean takes the place of several others at a target that is full, and is refused earlier in proportion.
+	Cost float64
 }
 
 // Stage says what an item is to a transaction.
@@ -68,12 +71,13 @@
 
 func (i Item) expired(now clock.Millis) bool { return i.Deadline != 0 && i.Deadline <= now }
 
-// delayDivisor divides the time left until StartBy to get the longest expected wait with which the item is accepted.
-func (i Item) delayDivisor() clock.Millis {
+// maxDelay returns the longest expected wait with which the item is accepted, in milliseconds.
+func (i Item) maxDelay(now clock.Millis) clock.Millis {
+	divisor := clock.Millis(startDelayDivisor)
 	if i.Stage == Begins {
-		return beginDelayDivisor
+		divisor = beginDelayDivisor
 	}
-	return startDelayDivisor
+	return clock.Millis(float64((i.StartBy-now)/divisor) / max(1, i.Cost))
 }
 
 // Queue is a bounded priority queue of the requests that wait for one target. Its methods get the time as a parameter.
@@ -104,7 +108,7 @@
 	if i.expired(now) {
 		return []Item{i}
 	}
-	if i.Stage != Continues && i.StartBy > now && q.rate.estimateWait(now, q.Ahead(i)) > (i.StartBy-now)/i.delayDivisor() {
+	if i.Stage != Continues && i.StartBy > now && q.rate.estimateWait(now, q.Ahead(i)) > i.maxDelay(now) {
 		return []Item{i}
 	}
 	if !q.full(i.Kind) {
--- a/internal/request/admission/replay_test.go
+++ b/internal/request/admission/replay_test.go
@@ -93,8 +93,8 @@
 	window int
 	// opsPerSecond is the rate of operations.
 	opsPerSecond float64
-	// staged is true if items say what they are to a transaction.
-	staged bool
+	// staged is true if items say what they are to a transaction, and costs is true if they have their cost.
+	staged, costs bool
 	totals
 }
 
@@ -115,6 +115,10 @@
 	o.id = s.lastID
 	s.ops[o.id] = o
 	i := Item{ID: o.id, Weight: o.weight, StartBy: now + o.objective - 2*o.serviceTime, Deadline: now + o.timeout - o.serviceTime}
+	if s.costs {
+		const meanServiceTime = 0.15*6 + 0.15*30 + 0.7*18
+		i.Cost = float64(o.serviceTime) / meanServiceTime
+	}
 	switch {
 	case !s.staged || o.statements == 1:
 	case o.remaining == o.statements:
@@ -216,7 +220,11 @@
 }
 
 func replay(window int, opsPerSecond float64, staged bool) *totals {
-	s := &simulation{rng: rand.New(rand.NewPCG(5, 6)), ops: map[ID]*operation{}, window: window, opsPerSecond: opsPerSecond, staged: staged}
+	return replayWith(&simulation{window: window, opsPerSecond: opsPerSecond, staged: staged})
+}
+
+func replayWith(s *simulation) *totals {
+	s.rng, s.ops = rand.New(rand.NewPCG(5, 6)), map[ID]*operation{}
 	s.inTime, s.late, s.refused, s.requested = map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
 	for i := range s.homes {
 		s.homes[i] = NewQueue(256)
