--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -128,7 +128,8 @@
 		return []Item{i}
 	}
 	h := c.heapOf(kind)
-	if !yieldsTo(c.weight, kind, i) && !(c.weight == i.Weight && kind == i.Kind && i.Workspace != "" && h.holdsMore(i.Workspace)) {
+	sameRank := c.weight == i.Weight && kind == i.Kind
+	if !yieldsTo(c.weight, kind, i) && (!sameRank || i.Workspace == "" || !h.holdsMore(i.Workspace)) {
 		return []Item{i}
 	}
 	displaced := q.removeAt(h, h.lastIndex())
