--- a/internal/process/edge/quota_test.go
+++ b/internal/process/edge/quota_test.go
@@ -18,7 +18,7 @@
 // testConfigWithLimit returns a configuration in which the callers' key belongs to a workspace with that rate and burst.
 func testConfigWithLimit(version int, rate float64) map[string]any {
 	c := testConfig(version, false)
-	c["Tenants"] = []any{map[string]any{"Name": "w", "ApiKeys": []any{"someone"}, "RatePerS": rate, "Burst": rate}}
+	standin.SetWorkspaces(c, []standin.Workspace{{Name: "w", Keys: []string{"someone"}, PerSecond: rate, Burst: rate}})
 	return c
 }
 
--- a/internal/process/edge/workspace_test.go
+++ b/internal/process/edge/workspace_test.go
@@ -19,17 +19,26 @@
 // configWithKeys returns a configuration whose workspaces have the keys given as WORKSPACE:KEY. Targets accept few connections, so that
 // homes serve the group.
 func configWithKeys(version int, keys ...string) map[string]any {
+	return configWithLimits(version, nil, keys...)
+}
+
+// configWithLimits is configWithKeys with the rates of some workspaces; the others have 1,000 a second.
+func configWithLimits(version int, perSecond map[string]float64, keys ...string) map[string]any {
 	c := testConfigWithConnections(version, false, 11)
 	byWorkspace := map[string][]string{}
 	for _, k := range keys {
 		w, key, _ := strings.Cut(k, ":")
 		byWorkspace[w] = append(byWorkspace[w], key)
 	}
-	var list []any
+	var list []standin.Workspace
 	for w, k := range byWorkspace {
-		list = append(list, map[string]any{"Name": w, "ApiKeys": k, "RatePerS": 1000.0, "Burst": 1000.0})
+		rate, limited := perSecond[w]
+		if !limited {
+			rate = 1000
+		}
+		list = append(list, standin.Workspace{Name: w, Keys: k, PerSecond: rate, Burst: rate})
 	}
-	c["Tenants"] = list
+	standin.SetWorkspaces(c, list)
 	return c
 }
 
@@ -195,13 +204,7 @@
 // whose sessions find no home while the one in another data centre does not answer.
 func TestSmallWorkspaceHasOneHome(t *testing.T) {
 	env := newTestEnv(t)
-	c := configWithKeys(3, "alpha:key-a", "beta:key-b")
-	for _, w := range c["Tenants"].([]any) {
-		if w := w.(map[string]any); w["Name"] == "beta" {
-			w["RatePerS"] = 1.0
-		}
-	}
-	env.store.Set("config", "main", c)
+	env.store.Set("config", "main", configWithLimits(3, map[string]float64{"beta": 1}, "alpha:key-a", "beta:key-b"))
 	var daemons []*daemon
 	for i := range 4 {
 		daemons = append(daemons, env.start(fmt.Sprint("d", i)))
@@ -274,13 +277,7 @@
 // Guards against a daemon that takes a refusal for the limit of a workspace for an outage of its home, and turns all its callers away.
 func TestRefusalForALimitIsNoOutage(t *testing.T) {
 	env := newTestEnv(t)
-	c := configWithKeys(3, "alpha:key-a", "beta:key-b")
-	for _, w := range c["Tenants"].([]any) {
-		if w := w.(map[string]any); w["Name"] == "beta" {
-			w["RatePerS"], w["Burst"] = 0.0, 0.0
-		}
-	}
-	env.store.Set("config", "main", c)
+	env.store.Set("config", "main", configWithLimits(3, map[string]float64{"beta": 0}, "alpha:key-a", "beta:key-b"))
 	for _, d := range env.startFleet(4) {
 		served, _ := d.connectWithKey("key-a")
 		limited, _ := d.connectWithKey("key-b")
