--- a/internal/connection/memory/memory_test.go
+++ b/internal/connection/memory/memory_test.go
@@ -139,6 +139,7 @@
 	if err := small.Draw(40 << 10); err != nil {
 		t.Errorf("got %v for a little more, want none", err)
 	}
+	time.Sleep((2 * a.limits.Stall).Duration()) // both callers count as stalled then
 	if err := small.Draw(8 * mebibyte); !errors.Is(err, ErrRejected) {
 		t.Errorf("got %v for more than the account by a caller that holds the most, want %v", err, ErrRejected)
 	}
