--- a/internal/process/edge/memory.go
+++ b/internal/process/edge/memory.go
@@ -98,8 +98,7 @@
 		b.skipped[kind]++
 		return
 	}
-	// The log may block, and the account is locked here.
-	go d.log.Warn("caller rejected", zap.String("kind", kind), zap.Int64("bytes", bytes), zap.Int("not-logged", b.skipped[kind]),
+	d.log.Warn("caller rejected", zap.String("kind", kind), zap.Int64("bytes", bytes), zap.Int("not-logged", b.skipped[kind]),
 		zap.Int64("account-bytes", b.account.Used()), zap.Int64("account-limit", b.account.Limit()))
 	b.logged[kind], b.skipped[kind] = now, 0
 }
--- a/internal/process/edge/workspace_test.go
+++ b/internal/process/edge/workspace_test.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 
+	"go.uber.org/zap"
+
 	"github.com/cactusfork/cactusfork/internal/request/placement"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
@@ -156,28 +157,33 @@
 	}
 }
 
+// daemonsAt returns daemons that do not run, two in each of two data centres. They know each other and what a running daemon has read of
+// the store.
+func (e *testEnv) daemonsAt(running *daemon, centres ...group.DataCentre) []*Daemon {
+	var list []placement.Peer
+	for i := range 2 * len(centres) {
+		list = append(list, placement.Peer{ID: group.DaemonID(fmt.Sprint("d", i)), DataCentre: centres[i/2], Address: "127.0.0.1:1"})
+	}
+	var daemons []*Daemon
+	for _, p := range list {
+		set := *running.set
+		set.Daemon.ID, set.Daemon.DataCentre = string(p.ID), string(p.DataCentre)
+		d := New("", &set, clock.System(), zap.NewNop())
+		d.peers.list.Store(&list)
+		d.view.Store(running.view.Load())
+		daemons = append(daemons, d)
+	}
+	return daemons
+}
+
 // Guards against sessions of routes that only the primary serves, which stay at a home in another data centre than the primary's.
 func TestStrongRoutesGoToHomesAtThePrimary(t *testing.T) {
 	env := newTestEnv(t)
 	env.store.Set("config", "main", configWithKeys(3, "alpha:key-a"))
-	var daemons []*daemon
-	for i := range 4 {
-		daemons = append(daemons, env.start(fmt.Sprint("d", i)))
-	}
-	d := daemons[0]
-	env.eventually("daemon knows the others", func() bool { return len(*d.peers.list.Load()) == len(daemons) })
-	v := d.view.Load()
-	primary := v.groups["g"].target(v.groups["g"].primary)
-	there := primary.meta.Load().DataCentre
-	list := *d.peers.list.Load()
-	for i := range list {
-		if i < 2 {
-			list[i].DataCentre = there
-		} else {
-			list[i].DataCentre = "elsewhere"
-		}
-	}
-	d.set.Daemon.DataCentre = "elsewhere"
+	running := env.start("d")
+	v := running.view.Load()
+	there := v.groups["g"].target(v.groups["g"].primary).meta.Load().DataCentre
+	d := env.daemonsAt(running, there, "elsewhere")[2]
 	large := v.config.Workspaces.Get("alpha")
 	for consistency, want := range map[topology.Consistency]group.DataCentre{topology.Strong: there, topology.Bounded: "elsewhere"} {
 		homes := d.homes(v, &topology.Route{Group: "g", Consistency: consistency}, large)
@@ -190,10 +196,11 @@
 			t.Errorf("consistency %d: got no homes", consistency)
 		}
 	}
-	for _, h := range d.homes(v, &topology.Route{Group: "g", Consistency: topology.Strong}, large) {
-		d.peers.backOff(h.ID, d.clk.Now()+clock.Second)
+	strong := &topology.Route{Group: "g", Consistency: topology.Strong}
+	for _, h := range d.homes(v, strong, large) {
+		d.peers.backOff(h.ID, d.clk.Now()+60*clock.Second)
 	}
-	for _, h := range d.homes(v, &topology.Route{Group: "g", Consistency: topology.Strong}, large) {
+	for _, h := range d.homes(v, strong, large) {
 		if h.DataCentre != "elsewhere" {
 			t.Errorf("got a home in %s while those at the primary do not answer, want one in the own data centre", h.DataCentre)
 		}
@@ -205,24 +212,12 @@
 func TestSmallWorkspaceHasOneHome(t *testing.T) {
 	env := newTestEnv(t)
 	env.store.Set("config", "main", configWithLimits(3, map[string]float64{"beta": 1}, "alpha:key-a", "beta:key-b"))
-	var daemons []*daemon
-	for i := range 4 {
-		daemons = append(daemons, env.start(fmt.Sprint("d", i)))
-	}
-	for _, d := range daemons {
-		env.eventually("daemon knows the others", func() bool { return len(*d.peers.list.Load()) == len(daemons) })
-		list := slices.Clone(*d.peers.list.Load())
-		for i := range list {
-			list[i].DataCentre = group.DataCentre(fmt.Sprint("dc", i/2))
-		}
-		d.peers.list.Store(&list)
-		i := slices.IndexFunc(list, func(p placement.Peer) bool { return p.ID == d.id })
-		d.set.Daemon.DataCentre = string(list[i].DataCentre)
-	}
-	homes := func(d *daemon, w string) []placement.Peer {
-		v := d.view.Load()
-		return d.homes(v, &topology.Route{Group: "g", Consistency: topology.Bounded}, v.config.Workspaces.Get(workspace.ID(w)))
+	running := env.start("d")
+	v := running.view.Load()
+	homes := func(d *Daemon, w workspace.ID) []placement.Peer {
+		return d.homes(v, &topology.Route{Group: "g", Consistency: topology.Bounded}, v.config.Workspaces.Get(w))
 	}
+	daemons := env.daemonsAt(running, "dc0", "dc1")
 	small := homes(daemons[0], "beta")
 	if len(small) != 1 {
 		t.Fatalf("got homes %v of a small workspace, want one", small)
@@ -236,7 +231,7 @@
 				t.Errorf("daemon %d: got home %s of a large workspace in %s, want one in %s", i, h.ID, h.DataCentre, d.set.Daemon.DataCentre)
 			}
 		}
-		d.peers.backOff(small[0].ID, d.clk.Now()+clock.Second)
+		d.peers.backOff(small[0].ID, d.clk.Now()+60*clock.Second)
 		for _, h := range homes(d, "beta") {
 			if string(h.DataCentre) != d.set.Daemon.DataCentre {
 				t.Errorf("daemon %d: got home %s while the one of the workspace does not answer, want one in the own data centre", i, h.ID)
