memory: make two tests independent of the machine's speed

The draw waits 300 ms at most, and the test came later than that to close the stalled caller. The wait is not what the test checks, so that it is 60 s now. In TestQuietCallerIsNotStalled, whose waits of 60 ms had to end within a stall time of 300 ms, the stall time is 2 s.

--- a/internal/connection/memory/memory_test.go
+++ b/internal/connection/memory/memory_test.go
@@ -114,7 +114,8 @@
 // Guards against an account that is exceeded, that starves ordinary callers, or that leaves a draw waiting for ever.
 func TestAccountIsShared(t *testing.T) {
 	var reasons []Reason
-	a := NewAccount(Limits{Bytes: 8 * mebibyte, Stall: 100, Wait: 300}, clock.System(), func(r Reason, _ int64) { reasons = append(reasons, r) })
+	// No draw of the test waits until it is refused. With a wait of 300 ms, a busy machine came too late to close the stalled caller.
+	a := NewAccount(Limits{Bytes: 8 * mebibyte, Stall: 100, Wait: 60 * clock.Second}, clock.System(), func(r Reason, _ int64) { reasons = append(reasons, r) })
 	closed := make(chan struct{})
 	large := a.Open(SessionBytes, func() { close(closed) })
 	if err := large.Draw(6 * mebibyte); err != nil {
@@ -181,7 +182,8 @@
 
 // Guards against a caller that was quiet between two shortages and counts as stalled as soon as it begins its next message.
 func TestQuietCallerIsNotStalled(t *testing.T) {
-	a := NewAccount(Limits{Bytes: 8 * mebibyte, Stall: 300, Wait: 10 * clock.Second}, clock.System(), nil)
+	// The stall time is many times that of the waits below, so that a busy machine does not make the caller stall.
+	a := NewAccount(Limits{Bytes: 8 * mebibyte, Stall: 2 * clock.Second, Wait: 60 * clock.Second}, clock.System(), nil)
 	var closed atomic.Bool
 	quiet := a.Open(SessionBytes, func() { closed.Store(true) })
 	other := a.Open(0, nil)
