--- a/.ci/test.sh
+++ b/.ci/test.sh
@@ -12,6 +12,8 @@
 else
 	skip='^$'
 fi
-go test -race -count=1 -timeout 20m -skip "$skip" $(go list ./... | grep -v /internal/overload)
+# Assigned first, so that a failure to list the packages ends the script and does not test fewer of them.
+packages=$(go list ./...)
+go test -race -count=1 -timeout 20m -skip "$skip" $(printf '%s\n' "$packages" | grep -v /internal/overload)
 # Without the race detector, under which the callers of the tests take several times the memory.
 exec go test -count=1 -timeout 10m -skip "$skip" ./internal/overload
