--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,14 +33,22 @@
 	daemons []*daemon
 }
 
+// Ports for daemons. They are below those that the system gives to connections, which might take them before a daemon listens.
+const (
+	firstPort = 12000
+	lastPort  = 31000
+)
+
 // freeAddress returns a loopback address with a port that is free now.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String(), nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // start starts one daemon with settings as the template of the deploy file gives them.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,6 +28,7 @@
 	"return": returnCase,
 	"strong": strongCase,
 	"resume": resumeCase,
+	"thaw":   thawCase,
 }
 
 func main() {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -35,6 +35,8 @@
 	record  *record
 	// promote makes a member the primary of its service and returns the status of the response.
 	promote func(service, id string) int
+	// promoter is called with the holder of each promotion; it may be nil.
+	promoter func(holder string)
 
 	mu       sync.Mutex
 	revision uint64
@@ -252,6 +254,9 @@
 	s.mu.Unlock()
 	status := http.StatusConflict
 	if !stale {
+		if s.promoter != nil {
+			s.promoter(holder)
+		}
 		status = s.promote(body.Service, body.Id)
 	}
 	s.record.add("promotion of %s by %s, token %d: %d", body.Id, holder, token, status)
