--- a/review/standin-2/thaw.go
+++ b/review/standin-2/thaw.go
@@ -47,6 +47,7 @@
 		case <-stopped:
 		default:
 			p.fleet.signal(frozen, syscall.SIGSTOP)
+			time.Sleep(20 * time.Millisecond) // it stands still before the answer arrives
 			close(stopped)
 		}
 		return nil
