--- a/review/standin-2/drain.go
+++ b/review/standin-2/drain.go
@@ -21,10 +21,10 @@
 	stop   chan struct{}
 }
 
-// startDrain starts the service, three daemons and their clients. The clients use about two thirds of the members' slots.
+// startDrain starts the service, three daemons and their clients. The clients use about four fifths of the members' slots.
 func startDrain(p *play) (*drainPlay, error) {
 	d := &drainPlay{stop: make(chan struct{})}
-	d.svc = &service{name: "svc1", record: p.record, store: p.store, slots: 2, maxConn: 33, work: 20 * time.Millisecond, lag: 8 * time.Millisecond}
+	d.svc = &service{name: "svc1", record: p.record, store: p.store, slots: 5, maxConn: 33, work: 50 * time.Millisecond, lag: 8 * time.Millisecond}
 	d.svc.arrived = func(m *member, id string, first bool) {
 		m.svc.mu.Lock()
 		at := m.drainingAt
@@ -53,7 +53,7 @@
 	}
 	time.Sleep(6 * time.Second) // the daemons know each other
 	for _, f := range p.fleet.daemons {
-		readers(p.record, f.front, "dbold", "reader-"+f.name, 20, 220*time.Millisecond, d.stop)
+		readers(p.record, f.front, "dbold", "reader-"+f.name, 24, 220*time.Millisecond, d.stop)
 		writers(p.record, f.front, "dbstrong", "writer-"+f.name, 1, 400*time.Millisecond, d.stop)
 	}
 	time.Sleep(2 * time.Second)
