edge: rely on no pause that an unanswered RESUME may end

Cause: a promotion is safe because the replicas that answer stay paused until it is executed. That a RESUME of an earlier attempt got no answer was logged and forgotten, though the target may carry it out up to 12 s later, and it names no term. The same holds for one that a daemon sent which has stopped since, and for those of the keeper of holders.

Change: RESUMEs are recorded in the claim before they are sent and until they are answered (promotion.Resumptions). A change of primary counts the pause of a replica only if none is outstanding, or if that replica is the successor, which leads with what it has received (promotion.PreventsCommits). If that cannot hold for any successor, nothing is paused. Only replicas that were paused are resumed.

Why it works: whatever a replica may still carry out is known to each holder of the claim before it can be sent, and is counted until it cannot be carried out any more. No replica can then acknowledge a commit that the successor lacks.

--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 
 	"go.uber.org/zap"
@@ -54,6 +55,8 @@
 	PendingUnknown bool               `json:"pending-unknown,omitempty"`
 	// Primary is the primary that is to be replaced; empty if none is known.
 	Primary group.TargetID `json:"primary,omitempty"`
+	// Resuming are the targets that may still carry out a RESUME, by what was known when the claim was written.
+	Resuming []promotion.Resumption `json:"resuming,omitempty"`
 	// Era is the store's era in which the newest term is known to be complete.
 	Era store.Era `json:"era,omitempty"`
 	promotion.NewestTerm
@@ -69,6 +72,10 @@
 	record claim
 	// unsettled describes the promotions under earlier claims.
 	unsettled promotion.Unsettled
+	// resumptions are the RESUMEs, under this claim and earlier ones, that targets may still carry out.
+	resumptions promotion.Resumptions
+	// paused are the targets to which a PAUSE was sent under this claim.
+	paused []*target
 	// reliable is true if the record holds all that any daemon knew before a restore of the store.
 	reliable bool
 }
@@ -105,11 +112,11 @@
 		return "", err
 	}
 	d.log.Info("primary change claim acquired", zap.String("group", string(g.id)), zap.Stringer("fence", c.fence), zap.Bool("unsettled", c.record.Unsettled),
-		zap.Uint64("newest-term", uint64(c.record.Term)))
+		zap.Uint64("newest-term", uint64(c.record.Term)), zap.Any("resuming", c.resumptions.Record(c.takenAt)))
 	defer func() { d.closeClaim(ctx, g.id, &c) }()
 	successor, err := d.selectSuccessor(ctx, g, action, &c)
 	if err != nil {
-		d.resumeIfPaused(ctx, g, action, &c)
+		d.resumeIfPaused(ctx, g, &c)
 		return "", err
 	}
 	id := successor.meta.Load().ID
@@ -124,7 +131,7 @@
 		return id, err
 	}
 	d.settle(g.id, &c, successor, term)
-	d.resumeIfPaused(ctx, g, action, &c)
+	d.resumeIfPaused(ctx, g, &c)
 	return id, nil
 }
 
@@ -137,9 +144,11 @@
 
 // resumeIfPaused lets the replicas that selectSuccessor has paused receive again. Once the claim may have expired, another daemon may
 // have paused them; then holderKeeper resumes them.
-func (d *Daemon) resumeIfPaused(ctx context.Context, g *groupView, action promotion.Action, c *heldClaim) {
-	if action == promotion.Replace && d.syncReplicas(g.id) > 0 && !c.record.Unsettled && d.clk.Now()-c.takenAt < claimTTL {
-		d.resumeReplicas(ctx, g)
+func (d *Daemon) resumeIfPaused(ctx context.Context, g *groupView, c *heldClaim) {
+	if len(c.paused) > 0 && !c.record.Unsettled && d.clk.Now()-c.takenAt < claimTTL {
+		if err := d.resumeReplicas(ctx, g, c, c.paused); err != nil {
+			d.warn("resuming replicas failed", err)
+		}
 	}
 }
 
@@ -154,7 +163,7 @@
 		return heldClaim{}, fmt.Errorf("%w: %s", errClaimed, current.Holder)
 	}
 	known := d.knownTerm(g)
-	c := heldClaim{takenAt: now}
+	c := heldClaim{fence: version, resumptions: d.readResumptions(g, current.Resuming, now)}
 	c.record = claim{
 		Holder: d.id, Unsettled: current.Open || current.Unsettled, Era: current.Era, NewestTerm: known.Merge(current.NewestTerm),
 	}
@@ -172,17 +181,38 @@
 	if c.reliable = d.terms.reliable(current.Era, era, now); c.reliable {
 		c.record.Era = era
 	}
-	open := c.record
-	open.Open = true
-	c.fence, err = d.store.Put(ctx, claimKey(g), encodeClaim(open), version)
+	if err := d.writeClaim(ctx, g, &c, true); err != nil {
+		return heldClaim{}, err
+	}
+	d.terms.set(g, c.record.NewestTerm)
+	return c, nil
+}
+
+// writeClaim writes a claim, open or closed, over its last version. It fails with errClaimed if another daemon has written one since.
+func (d *Daemon) writeClaim(ctx context.Context, g group.ID, c *heldClaim, open bool) error {
+	now := d.clk.Now()
+	record := c.record
+	record.Open, record.Resuming = open, c.resumptions.Record(now)
+	version, err := d.store.Put(ctx, claimKey(g), encodeClaim(record), c.fence)
 	if errors.Is(err, store.ErrConflict) {
-		return heldClaim{}, fmt.Errorf("%w: %w", errClaimed, err)
+		return fmt.Errorf("%w: %w", errClaimed, err)
 	}
 	if err != nil {
-		return heldClaim{}, fmt.Errorf("write claim: %w", err)
+		return fmt.Errorf("write claim: %w", err)
 	}
-	d.terms.set(g, c.record.NewestTerm)
-	return c, nil
+	c.fence, c.takenAt = version, now
+	d.claimsMu.Lock()
+	defer d.claimsMu.Unlock()
+	d.resumptions[g] = c.resumptions
+	return nil
+}
+
+// readResumptions returns the resumptions of a record read at now. What this daemon has read or written before ends no later than it knew then.
+func (d *Daemon) readResumptions(g group.ID, record []promotion.Resumption, now clock.Millis) promotion.Resumptions {
+	d.claimsMu.Lock()
+	defer d.claimsMu.Unlock()
+	d.resumptions[g] = d.resumptions[g].Read(record, now)
+	return d.resumptions[g]
 }
 
 // claimExpired records an open claim of another daemon, and reports whether it has been unchanged for claimTTL.
@@ -204,8 +234,7 @@
 }
 
 func (d *Daemon) closeClaim(ctx context.Context, g group.ID, c *heldClaim) {
-	_, err := d.store.Put(ctx, claimKey(g), encodeClaim(c.record), c.fence)
-	if err != nil {
+	if err := d.writeClaim(ctx, g, c, false); err != nil {
 		d.warn("closing primary change claim failed", err)
 	}
 }
@@ -238,13 +267,17 @@
 		newest = max(newest, result.report.Received.Term)
 	}
 	if action == promotion.Replace {
-		if err := d.secureCommits(ctx, g, members, newest+1); err != nil {
+		holders, err := d.secureCommits(ctx, g, members, newest+1, c)
+		if err != nil {
 			return nil, err
 		}
 		best, err := d.chooseSuccessor(g, members, c)
 		if err != nil {
 			return nil, err
 		}
+		if !promotion.PreventsCommits(members, holders, d.syncReplicas(g.id), best) {
+			return nil, fmt.Errorf("%w: other replicas than %s may resume by themselves", errNoSuccessor, members[best].ID)
+		}
 		return g.targets[best], nil
 	}
 	best := promotion.BestCandidate(members, newest)
@@ -256,23 +289,30 @@
 	return d.handOver(ctx, g, g.targets[best])
 }
 
-// secureCommits makes sure that the replicas that answer hold all acknowledged commits, now and until the change has ended: it pauses
-// them, so that no commit can be acknowledged that they have not reported. After a hand-over this is not needed, as the primary itself
-// shows what it holds.
-func (d *Daemon) secureCommits(ctx context.Context, g *groupView, members []promotion.Member, term position.Term) error {
+// secureCommits makes sure that the replicas that answer hold all acknowledged commits: it pauses them, so that no commit can be
+// acknowledged that they have not reported. Replicas that may end the pause by themselves are marked. It returns the targets that may hold
+// acknowledged commits. After a hand-over this is not needed, as the primary itself shows what it holds.
+func (d *Daemon) secureCommits(ctx context.Context, g *groupView, members []promotion.Member, term position.Term, c *heldClaim) ([]promotion.Holder, error) {
 	synchronous := d.syncReplicas(g.id)
 	if synchronous == 0 {
-		return nil
+		return nil, nil
 	}
 	holders, _, err := d.readHolders(ctx, g.id)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errNoSuccessor, err)
+		return nil, fmt.Errorf("%w: %w", errNoSuccessor, err)
+	}
+	now := d.clk.Now()
+	for i, t := range g.targets {
+		members[i].MayResume = c.resumptions.Pending(t.holder(), now)
+	}
+	if !promotion.CanPreventCommits(members, holders, synchronous) {
+		return nil, fmt.Errorf("%w: too few of the targets %v can be paused, by %+v", errNoSuccessor, holders, members)
 	}
-	d.pauseReplicas(ctx, g, members, term)
+	d.pauseReplicas(ctx, g, members, term, c)
 	if !promotion.HasCommitQuorum(members, holders, synchronous) {
-		return fmt.Errorf("%w: too few of the targets %v reported their position", errNoSuccessor, holders)
+		return nil, fmt.Errorf("%w: too few of the targets %v reported their position", errNoSuccessor, holders)
 	}
-	return nil
+	return holders, nil
 }
 
 func (d *Daemon) syncReplicas(g group.ID) int {
@@ -283,11 +323,12 @@
 }
 
 // pauseReplicas stops the replicas that answered from receiving, and records the positions they hold then. A replica that does not obey counts as one that did not answer.
-func (d *Daemon) pauseReplicas(ctx context.Context, g *groupView, members []promotion.Member, term position.Term) {
+func (d *Daemon) pauseReplicas(ctx context.Context, g *groupView, members []promotion.Member, term position.Term, c *heldClaim) {
 	for i, t := range g.targets {
 		if members[i].Leader || members[i].Draining {
 			continue
 		}
+		c.paused = append(c.paused, t)
 		r, err := d.runCommand(ctx, t, link.Command{Kind: link.Pause, Term: term})
 		if err != nil {
 			d.warnTarget("pausing replica failed", g.id, members[i].ID, err)
@@ -298,14 +339,31 @@
 	}
 }
 
-// resumeReplicas lets all replicas of a group receive again.
-func (d *Daemon) resumeReplicas(ctx context.Context, g *groupView) {
-	for _, t := range g.targets {
-		id := t.meta.Load().ID
+// resumeReplicas lets targets receive again. The claim records beforehand which, as one that does not answer may carry out the RESUME
+// later, when another holder relies on a pause.
+func (d *Daemon) resumeReplicas(ctx context.Context, g *groupView, c *heldClaim, targets []*target) error {
+	// Each version of the claim is written once, so that no other order has its number.
+	order, now := uint64(c.fence), d.clk.Now()
+	for _, t := range targets {
+		c.resumptions.Add(t.holder(), order, now)
+	}
+	if err := d.writeClaim(ctx, g.id, c, true); err != nil {
+		return fmt.Errorf("resume replicas: %w", err)
+	}
+	for _, t := range targets {
 		if _, err := d.runCommand(ctx, t, link.Command{Kind: link.Resume}); err != nil {
-			d.warnTarget("resuming replica failed", g.id, id, err)
+			d.count("resumptions-unanswered")
+			d.warnTarget("resuming replica failed", g.id, t.meta.Load().ID, err)
+			continue
 		}
+		c.resumptions.Answered(t.holder(), order)
 	}
+	return nil
+}
+
+// replicas returns the targets of the group other than its known primary.
+func (g *groupView) replicas() []*target {
+	return slices.DeleteFunc(slices.Clone(g.targets), func(t *target) bool { return t.meta.Load().ID == g.primary })
 }
 
 // isPrimary reports whether the target is the known primary of its group.
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -112,6 +112,8 @@
 	// claims holds the open claims of other daemons as last read; claimsMu guards it.
 	claimsMu sync.Mutex
 	claims   map[group.ID]observedClaim
+	// resumptions are the RESUMEs that targets may still carry out, by the claims that this daemon has read and written; claimsMu guards it.
+	resumptions map[group.ID]promotion.Resumptions
 	// terms holds what this daemon knows of the newest terms from the store.
 	terms *termRecord
 }
@@ -130,9 +132,9 @@
 		peerDialer:   socket.Dialer(peerLimits),
 		mirrors:      mirror.NewClient(socket.Dialer(peerLimits).DialContext),
 		caches:       map[store.Key]*mirror.Cache{platform.ConfigPrefix: {}, platform.TargetsPrefix: {}, peerPrefix: {}},
-		claims:       make(map[group.ID]observedClaim),
-		terms:        newTermRecord(),
-		costs:        admission.NewCosts(),
+		claims:       make(map[group.ID]observedClaim), resumptions: make(map[group.ID]promotion.Resumptions),
+		terms: newTermRecord(),
+		costs: admission.NewCosts(),
 	}
 	d.bounds = d.newBounds(set)
 	d.eras.OnRestore = d.handleRestore
--- a/internal/process/edge/quorum.go
+++ b/internal/process/edge/quorum.go
@@ -257,7 +257,9 @@
 			point = p // its term may be a later one
 		}
 	}
-	d.resumeReplicas(ctx, g)
+	if err := d.resumeReplicas(ctx, g, &c, g.replicas()); err != nil {
+		return fmt.Errorf("settle: %w", err)
+	}
 	d.settle(g.id, &c, primary, point.Term)
 	return nil
 }
--- /dev/null
+++ b/internal/process/edge/resume_test.go
@@ -0,0 +1,87 @@
+package edge
+
+import (
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cactusfork/cactusfork/platform/standin"
+)
+
+// unanswered makes a target leave the first command of a kind unanswered, and carry it out once the returned function is called.
+func unanswered(t *standin.Target, verb string) (carryOut func()) {
+	begin := make(chan struct{})
+	var met atomic.Bool
+	t.SetLate(func(v string) <-chan struct{} {
+		if v != verb || met.Swap(true) {
+			return nil
+		}
+		return begin
+	})
+	return func() { close(begin) }
+}
+
+// duringPromotion has f called when the first promotion is requested, before it is carried out.
+func (e *testEnv) duringPromotion(f func(id string)) {
+	var requested atomic.Bool
+	promote := e.store.Promote
+	e.store.Promote = func(service, id string) int {
+		if !requested.Swap(true) {
+			f(id)
+		}
+		return promote(service, id)
+	}
+}
+
+// Guards against a commit that is acknowledged between the choice of a successor, which lacks it, and the promotion, as a RESUME of an
+// earlier attempt got no answer and ends the pause of the other replica.
+func TestLateResumeDoesNotUndoAPause(t *testing.T) {
+	t.Parallel()
+	env := newSynchronousEnv(t)
+	primary := env.group.Targets[0]
+	d := env.start("front-1")
+	env.awaitHolders(d, "g-0 g-1 g-2")
+	// The first attempt fails, as one replica does not answer its PAUSE. The other one does not answer the RESUME that follows.
+	unanswered(env.group.Targets[1], "PAUSE")
+	carryOut := unanswered(env.group.Targets[2], "RESUME")
+	address := d.view.Load().findTarget("g", "g-0").meta.Load().Address
+	acknowledged := make(chan bool, 1)
+	env.duringPromotion(func(string) {
+		setUnreachable(primary, false)
+		carryOut()
+		time.Sleep(100 * time.Millisecond)
+		session, _ := standin.Connect(t.Context(), address, "g", 700*time.Millisecond)
+		acknowledged <- session != nil && standin.Completed(session.Query("WRITE a 9"))
+	})
+	d.writeInBackground()
+	setUnreachable(primary, true)
+	var got bool
+	select {
+	case got = <-acknowledged:
+	case <-time.After(testTimeout):
+		t.Fatal("got no promotion requested, want one")
+	}
+	env.eventually("a replica is promoted", func() bool { p := env.group.Primary(); return p != nil && p != primary })
+	if log := env.group.Primary().Log(); got && !slices.Contains(log, "a 9") {
+		t.Errorf("got %s promoted with log %q, want the acknowledged \"a 9\" in it", env.group.Primary().ID, log)
+	}
+}
+
+// Guards against a daemon that relies on pauses which RESUMEs of a daemon that has stopped since may undo.
+func TestResumptionsOfAnotherHolderAreWaitedFor(t *testing.T) {
+	t.Parallel()
+	env := newSynchronousEnv(t)
+	d := env.start("front-1")
+	env.awaitHolders(d, "g-0 g-1 g-2")
+	const left = 4 * time.Second
+	env.store.Set("cactusfork-claims", "g", `{"holder":"front-9","resuming":[
+		{"id":"g-1","started-at":1700000000000,"left-ms":4000},{"id":"g-2","started-at":1700000000000,"left-ms":4000}]}`)
+	wroteAt := time.Now()
+	d.writeInBackground()
+	setUnreachable(env.group.Targets[0], true)
+	env.eventually("a replica is promoted", func() bool { p := env.group.Primary(); return p != nil && p != env.group.Targets[0] })
+	if got := time.Since(wroteAt); got < left {
+		t.Errorf("got a promotion after %v, want none for %v", got, left)
+	}
+}
--- a/internal/process/edge/terms.go
+++ b/internal/process/edge/terms.go
@@ -182,11 +182,24 @@
 	var c claim
 	if err := json.Unmarshal(stored.Value, &c); err != nil {
 		d.warn("stored claim is malformed", err)
-		c = claim{Unsettled: true}
+		c = claim{Unsettled: true, Resuming: d.allResuming(g)}
 	}
 	return c, stored.Version, nil
 }
 
+// allResuming returns the record in which each known target of a group may carry out a RESUME.
+func (d *Daemon) allResuming(g group.ID) []promotion.Resumption {
+	gv := d.view.Load().groups[g]
+	if gv == nil {
+		return nil
+	}
+	list := make([]promotion.Resumption, len(gv.targets))
+	for i, t := range gv.targets {
+		list[i] = promotion.Resumption{Holder: t.holder(), Left: promotion.MaxCommandDelay}
+	}
+	return list
+}
+
 // unsettledPromotions returns the promotions that may still be executed, or may have been, by the stored claim. Of a claim that was not
 // closed, the target is not known. It is one that held the newest term, and not the primary.
 func (c *claim) unsettledPromotions() promotion.Unsettled {
--- a/internal/version/promotion/decide.go
+++ b/internal/version/promotion/decide.go
@@ -49,6 +49,8 @@
 	Received position.Point
 	// Receipt records what the target is known to have received, and when.
 	Receipt Receipt
+	// MayResume is true if a pause of the target may end at any time, as it has not answered an earlier RESUME.
+	MayResume bool
 }
 
 // Action is the decision about a group's primary.
@@ -142,7 +144,8 @@
 // BestCandidate returns the index of the target to promote, which is the one with the highest received point, or -1 if there is none.
 // Received must be up to date in every member.
 //
-// A target whose log ends before the newest known term is skipped, as it would restore writes that a later primary has replaced.
+// A target whose log ends before the newest known term is skipped, as it would restore writes that a later primary has replaced. Of targets
+// that hold the same, one that may resume by itself is preferred, see PreventsCommits.
 func BestCandidate(members []Member, newest position.Term) int {
 	best := -1
 	for i := range members {
@@ -150,7 +153,8 @@
 		if m.Leader || m.Draining || m.FailingSince > 0 || m.Received.Term < newest {
 			continue
 		}
-		if best < 0 || members[best].Received.Before(m.Received) {
+		if best < 0 || members[best].Received.Before(m.Received) ||
+			m.MayResume && !members[best].MayResume && !m.Received.Before(members[best].Received) {
 			best = i
 		}
 	}
--- a/internal/version/promotion/holders.go
+++ b/internal/version/promotion/holders.go
@@ -68,6 +68,29 @@
 // synchronous is how many replicas must have received a commit before it is acknowledged. Holders that are not among the members are
 // targets that cannot be asked any more; the members that are not among the holders count, too.
 func HasCommitQuorum(members []Member, holders []Holder, synchronous int) bool {
+	return hasQuorum(members, holders, synchronous, func(int) bool { return true })
+}
+
+// PreventsCommits reports whether no commit can be acknowledged any more that the successor, an index of members, will lack when it is
+// promoted. The replicas that answer are paused. One that may resume by itself may receive commits again, which does no harm if it is the
+// successor, as it then leads with what it has received.
+func PreventsCommits(members []Member, holders []Holder, synchronous, successor int) bool {
+	return hasQuorum(members, holders, synchronous, func(i int) bool { return i == successor || !members[i].MayResume })
+}
+
+// CanPreventCommits reports whether PreventsCommits holds for any successor, if the replicas that answer are paused.
+func CanPreventCommits(members []Member, holders []Holder, synchronous int) bool {
+	for i := range members {
+		if members[i].replies() && PreventsCommits(members, holders, synchronous, i) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasQuorum reports whether so many of the replicas answer and count that those left, with the holders that are not among the members, are
+// too few to acknowledge a commit.
+func hasQuorum(members []Member, holders []Holder, synchronous int, counts func(int) bool) bool {
 	if synchronous == 0 {
 		return true
 	}
@@ -79,7 +102,7 @@
 		switch {
 		case m.Leader:
 			leaders++
-		case !m.Draining && m.FailingSince == 0:
+		case m.replies() && counts(i):
 			replying++
 		}
 	}
@@ -89,6 +112,9 @@
 	return replying > len(all)-leaders-synchronous
 }
 
+// replies reports whether the member is a replica that has reported its position.
+func (m *Member) replies() bool { return !m.Leader && !m.Draining && m.FailingSince == 0 }
+
 func (m *Member) holder() Holder { return Holder{ID: m.ID, StartedAt: m.StartedAt} }
 
 func compareHolders(a, b Holder) int {
--- a/internal/version/promotion/holders_test.go
+++ b/internal/version/promotion/holders_test.go
@@ -99,15 +99,15 @@
 	return slices.DeleteFunc(slices.Clone(m.targets), func(r *modelTarget) bool { return r == m.primary || !r.running })
 }
 
-// commit lets some replicas receive a commit of the primary, which counts as acknowledged if they are enough.
-func (m *groupModel) commit(t *rapid.T) {
+// commit lets some of the replicas that receive get a commit of the primary, which counts as acknowledged if they are enough.
+func (m *groupModel) commit(t *rapid.T, receives func(*modelTarget) bool) {
 	if !m.primary.running {
 		return
 	}
 	m.primary.received.Position++
 	n := 0
 	for _, r := range m.replicas() {
-		if rapid.Bool().Draw(t, "receives") {
+		if receives(r) && rapid.Bool().Draw(t, "receives") {
 			r.received = m.primary.received
 			n++
 		}
@@ -149,13 +149,22 @@
 		}
 		x := Member{ID: r.holder.ID, StartedAt: r.holder.StartedAt, Received: r.received, Leader: leaderKnown && r == m.primary}
 		x.Draining = !r.running || r == m.primary || rapid.IntRange(0, 4).Draw(t, "silent") == 0
+		x.MayResume = rapid.IntRange(0, 2).Draw(t, "may resume") == 0
 		members, asked = append(members, x), append(asked, r)
 	}
 	best := BestCandidate(members, 0)
-	if best < 0 || !HasCommitQuorum(members, m.record, m.synchronous) {
+	if best < 0 || !HasCommitQuorum(members, m.record, m.synchronous) || !PreventsCommits(members, m.record, m.synchronous, best) {
 		return
 	}
 	chosen := asked[best]
+	// Until the promotion is carried out, replicas that are not paused for sure receive commits.
+	paused := make(map[*modelTarget]bool)
+	for i := range members {
+		paused[asked[i]] = members[i].replies() && !members[i].MayResume
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "commits during the promotion") {
+		m.commit(t, func(r *modelTarget) bool { return !paused[r] })
+	}
 	if chosen.received.Before(m.acked) {
 		t.Fatalf("got a target promoted that holds %v, want the acknowledged %v; record %v, members %+v", chosen.received, m.acked, m.record, members)
 	}
@@ -180,7 +189,7 @@
 		m.observe()
 		any := func() *modelTarget { return m.targets[rapid.IntRange(0, len(m.targets)-1).Draw(t, "target")] }
 		t.Repeat(map[string]func(*rapid.T){
-			"commit":  m.commit,
+			"commit":  func(t *rapid.T) { m.commit(t, func(*modelTarget) bool { return true }) },
 			"observe": func(*rapid.T) { m.observe() },
 			"elect":   m.elect,
 			"stop":    func(*rapid.T) { any().running = false },
