edge: send no order under a claim that may have expired

Cause: a daemon looked at the age of its claim once and then told one target after the other to receive again, each with a time-out of its own. One that stood still meanwhile went on as if no time had passed, beside the next holder of the claim, whose pause the late RESUME ended.

Change: all RESUMEs share one deadline, 1 s after the record of them was requested, and are sent at once; a record that another holder's claim has replaced sends none. Behind a promotion the claim is closed first, so that a holder that stops there delays nobody. PAUSE, DEMOTE and promotions are bound by the claim's time to live as well.

Why it works: the deadline is an instant that was fixed before the freeze, and the connection refuses to send past it.

--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -36,6 +36,8 @@
 	catchUpTimeout = clock.Second
 	// changeRetryPause is the wait after a failed change of primary, in milliseconds.
 	changeRetryPause clock.Millis = 400
+	// resumeTimeout is how long after it was recorded a RESUME may be sent. promotion.MaxCommandDelay contains it.
+	resumeTimeout = clock.Second
 	// maxPromoteAttempts is how often a promotion that gets no response is requested under one claim.
 	maxPromoteAttempts = 3
 )
@@ -80,10 +82,15 @@
 	reliable bool
 }
 
+// expiresAt returns from when on another daemon may hold the claim.
+func (c *heldClaim) expiresAt() clock.Millis { return c.takenAt + claimTTL }
+
 var (
 	errClaimed        = errors.New("another daemon holds the claim to change the primary")
 	errNoSuccessor    = errors.New("no target can be promoted")
 	errPrimaryReplied = errors.New("primary answers, no change needed")
+	// errClaimExpired means that another daemon may hold the claim by now.
+	errClaimExpired = errors.New("claim may have expired")
 	// errPromotionUnsettled means that a promotion may have been executed, or may still be.
 	errPromotionUnsettled = errors.New("promotion is unsettled")
 )
@@ -116,11 +123,14 @@
 	defer func() { d.closeClaim(ctx, g.id, &c) }()
 	successor, err := d.selectSuccessor(ctx, g, action, &c)
 	if err != nil {
-		d.resumeIfPaused(ctx, g, &c)
+		// A promotion under an earlier claim may still be executed; it needs the replicas paused.
+		if !c.record.Unsettled {
+			d.resumeReplicas(ctx, g, &c, c.paused, true)
+		}
 		return "", err
 	}
 	id := successor.meta.Load().ID
-	term, err := d.promoteAndWait(ctx, g, successor, c.fence)
+	term, err := d.promoteAndWait(ctx, g, successor, &c)
 	if errors.Is(err, errPromotionUnsettled) {
 		// It may still be executed, so the replicas stay paused: what they received now might be missing at the successor.
 		c.record.addPending(successor.holder())
@@ -131,7 +141,8 @@
 		return id, err
 	}
 	d.settle(g.id, &c, successor, term)
-	d.resumeIfPaused(ctx, g, &c)
+	// The promotion has ended the pause of the targets that it reached. The claim is closed before, as nothing else depends on it.
+	d.resumeReplicas(ctx, g, &c, c.paused, false)
 	return id, nil
 }
 
@@ -142,16 +153,6 @@
 	d.terms.set(g, c.record.NewestTerm)
 }
 
-// resumeIfPaused lets the replicas that selectSuccessor has paused receive again. Once the claim may have expired, another daemon may
-// have paused them; then holderKeeper resumes them.
-func (d *Daemon) resumeIfPaused(ctx context.Context, g *groupView, c *heldClaim) {
-	if len(c.paused) > 0 && !c.record.Unsettled && d.clk.Now()-c.takenAt < claimTTL {
-		if err := d.resumeReplicas(ctx, g, c, c.paused); err != nil {
-			d.warn("resuming replicas failed", err)
-		}
-	}
-}
-
 // takeClaim writes a claim over one that is closed or expired.
 func (d *Daemon) takeClaim(ctx context.Context, g group.ID) (heldClaim, error) {
 	current, version, err := d.readClaim(ctx, g)
@@ -286,7 +287,7 @@
 	if best < 0 {
 		return nil, errNoSuccessor
 	}
-	return d.handOver(ctx, g, g.targets[best])
+	return d.handOver(ctx, g, g.targets[best], c)
 }
 
 // secureCommits makes sure that the replicas that answer hold all acknowledged commits: it pauses them, so that no commit can be
@@ -329,7 +330,7 @@
 			continue
 		}
 		c.paused = append(c.paused, t)
-		r, err := d.runCommand(ctx, t, link.Command{Kind: link.Pause, Term: term})
+		r, err := d.runCommandBefore(ctx, t, link.Command{Kind: link.Pause, Term: term}, c.expiresAt())
 		if err != nil {
 			d.warnTarget("pausing replica failed", g.id, members[i].ID, err)
 			members[i].Draining = true
@@ -339,26 +340,39 @@
 	}
 }
 
-// resumeReplicas lets targets receive again. The claim records beforehand which, as one that does not answer may carry out the RESUME
-// later, when another holder relies on a pause.
-func (d *Daemon) resumeReplicas(ctx context.Context, g *groupView, c *heldClaim, targets []*target) error {
+// resumeReplicas lets targets receive again. It first writes the claim, open or closed, with a record of these RESUMEs, as a target that
+// does not answer may carry out a RESUME later, when another holder relies on a pause. Once that record is older than resumeTimeout, or
+// if another daemon has written the claim, nothing is sent: holderKeeper resumes the targets.
+func (d *Daemon) resumeReplicas(ctx context.Context, g *groupView, c *heldClaim, targets []*target, open bool) {
+	if len(targets) == 0 {
+		return
+	}
 	// Each version of the claim is written once, so that no other order has its number.
 	order, now := uint64(c.fence), d.clk.Now()
 	for _, t := range targets {
 		c.resumptions.Add(t.holder(), order, now)
 	}
-	if err := d.writeClaim(ctx, g.id, c, true); err != nil {
-		return fmt.Errorf("resume replicas: %w", err)
+	if err := d.writeClaim(ctx, g.id, c, open); err != nil {
+		d.warn("replicas not resumed", err)
+		return
 	}
-	for _, t := range targets {
-		if _, err := d.runCommand(ctx, t, link.Command{Kind: link.Resume}); err != nil {
-			d.count("resumptions-unanswered")
-			d.warnTarget("resuming replica failed", g.id, t.meta.Load().ID, err)
-			continue
+	answered := make([]bool, len(targets))
+	var wg sync.WaitGroup
+	for i, t := range targets {
+		wg.Go(func() {
+			_, err := d.runCommandBefore(ctx, t, link.Command{Kind: link.Resume}, c.takenAt+resumeTimeout)
+			if answered[i] = err == nil; err != nil {
+				d.count("resumptions-unanswered")
+				d.warnTarget("resuming replica failed", g.id, t.meta.Load().ID, err)
+			}
+		})
+	}
+	wg.Wait()
+	for i, t := range targets {
+		if answered[i] {
+			c.resumptions.Answered(t.holder(), order)
 		}
-		c.resumptions.Answered(t.holder(), order)
 	}
-	return nil
 }
 
 // replicas returns the targets of the group other than its known primary.
@@ -384,7 +398,7 @@
 }
 
 // handOver demotes the primary and returns the target to promote: successor once it has received everything that the primary holds, or else the old primary, so that no write is lost.
-func (d *Daemon) handOver(ctx context.Context, g *groupView, successor *target) (*target, error) {
+func (d *Daemon) handOver(ctx context.Context, g *groupView, successor *target, c *heldClaim) (*target, error) {
 	oldPrimary := g.target(g.primary)
 	if oldPrimary == nil {
 		return nil, errNoSuccessor
@@ -393,7 +407,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("hand over: %w", err)
 	}
-	demoted, err := d.runCommand(ctx, oldPrimary, link.Command{Kind: link.Demote, Term: status.Term + 1})
+	demoted, err := d.runCommandBefore(ctx, oldPrimary, link.Command{Kind: link.Demote, Term: status.Term + 1}, c.expiresAt())
 	if err != nil {
 		return nil, fmt.Errorf("hand over: %w", err)
 	}
@@ -413,7 +427,13 @@
 
 // runCommand runs one command at a target and returns the report in its reply.
 func (d *Daemon) runCommand(ctx context.Context, t *target, c link.Command) (link.Report, error) {
-	deadline := d.clk.Now() + probeTimeout
+	return d.runCommandBefore(ctx, t, c, d.clk.Now()+probeTimeout)
+}
+
+// runCommandBefore is runCommand for a command that is not sent at limit or later. A daemon that stood still for longer than it may hold a
+// claim must not act beside the next holder.
+func (d *Daemon) runCommandBefore(ctx context.Context, t *target, c link.Command, limit clock.Millis) (link.Report, error) {
+	deadline := min(d.clk.Now()+probeTimeout, limit)
 	conn, err := t.pool.GetAny(ctx, deadline)
 	if err != nil {
 		return link.Report{}, fmt.Errorf("run command: %w", err)
@@ -435,9 +455,16 @@
 }
 
 // promoteAndWait requests the promotion under the claim, waits until the target is the primary and returns the term that it leads.
-func (d *Daemon) promoteAndWait(ctx context.Context, g *groupView, successor *target, fence store.Version) (position.Term, error) {
-	id, mayRun := successor.meta.Load().ID, false
+func (d *Daemon) promoteAndWait(ctx context.Context, g *groupView, successor *target, c *heldClaim) (position.Term, error) {
+	id, fence, mayRun := successor.meta.Load().ID, c.fence, false
 	for attempt := 1; ; attempt++ {
+		if d.clk.Now() >= c.expiresAt() {
+			err := errClaimExpired
+			if mayRun {
+				err = fmt.Errorf("%w: %w", errPromotionUnsettled, err)
+			}
+			return 0, err
+		}
 		err := d.promote(ctx, g.id, id, fence)
 		d.log.Info("promotion requested", zap.String("group", string(g.id)), zap.String("target", string(id)),
 			zap.Stringer("fence", fence), zap.Int("try", attempt), zap.Error(err))
--- a/internal/process/edge/quorum.go
+++ b/internal/process/edge/quorum.go
@@ -257,9 +257,7 @@
 			point = p // its term may be a later one
 		}
 	}
-	if err := d.resumeReplicas(ctx, g, &c, g.replicas()); err != nil {
-		return fmt.Errorf("settle: %w", err)
-	}
 	d.settle(g.id, &c, primary, point.Term)
+	d.resumeReplicas(ctx, g, &c, g.replicas(), true)
 	return nil
 }
--- a/internal/process/edge/resume_test.go
+++ b/internal/process/edge/resume_test.go
@@ -1,11 +1,16 @@
 package edge
 
 import (
+	"errors"
 	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/cactusfork/cactusfork/internal/version/promotion"
+	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/platform/standin"
 )
 
@@ -85,3 +90,94 @@
 		t.Errorf("got a promotion after %v, want none for %v", got, left)
 	}
 }
+
+// Guards against a daemon that stands still while it lets replicas receive again, and goes on when another daemon holds the claim.
+func TestDaemonThatStoodStillResumesNothing(t *testing.T) {
+	t.Parallel()
+	env := newSynchronousEnv(t)
+	var stoodStill atomic.Int64
+	d := env.startWith("front-1", zap.NewNop(), func(*Settings) {}, func(d *Daemon) {
+		now := d.clk.Now
+		d.clk.Now = func() clock.Millis { return now() + clock.Millis(stoodStill.Load()) }
+	})
+	env.awaitHolders(d, "g-0 g-1 g-2")
+	woke := make(chan time.Time, 1)
+	env.group.Targets[1].SetLate(func(verb string) <-chan struct{} {
+		if verb != "RESUME" || !stoodStill.CompareAndSwap(0, int64(claimTTL+clock.Second)) {
+			return nil
+		}
+		env.store.Set("cactusfork-claims", "g", `{"holder":"front-9","open":true}`)
+		woke <- time.Now()
+		return make(chan struct{})
+	})
+	resumed := make(chan time.Time, 64)
+	env.group.Targets[2].SetLate(func(verb string) <-chan struct{} {
+		if verb == "RESUME" {
+			resumed <- time.Now()
+		}
+		return nil
+	})
+	d.writeInBackground()
+	setUnreachable(env.group.Targets[0], true)
+	var at time.Time
+	select {
+	case at = <-woke:
+	case <-time.After(testTimeout):
+		t.Fatal("got no RESUME, want one")
+	}
+	// A RESUME that was on its way as the daemon stood still arrives at once.
+	for end := time.After(time.Second); ; {
+		select {
+		case r := <-resumed:
+			if late := r.Sub(at); late > 200*time.Millisecond {
+				t.Errorf("got a RESUME %v after the daemon stood still, want none", late)
+			}
+		case <-end:
+			return
+		}
+	}
+}
+
+// Guards against orders of a daemon whose claim may be another daemon's by now.
+func TestExpiredClaimSendsNoOrders(t *testing.T) {
+	t.Parallel()
+	env := newSynchronousEnv(t)
+	d := env.start("front-1")
+	env.awaitHolders(d, "g-0 g-1 g-2")
+	var orders atomic.Int64
+	for _, target := range env.group.Targets {
+		target.SetLate(func(string) <-chan struct{} {
+			orders.Add(1)
+			return nil
+		})
+	}
+	promote := env.store.Promote
+	env.store.Promote = func(service, id string) int {
+		orders.Add(1)
+		return promote(service, id)
+	}
+	c, err := d.takeClaim(t.Context(), "g")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.takenAt -= claimTTL
+	g := d.view.Load().groups["g"]
+	members := make([]promotion.Member, len(g.targets))
+	d.pauseReplicas(t.Context(), g, members, 2, &c)
+	for i, m := range members {
+		if !m.Draining {
+			t.Errorf("target %d: got it paused, want it to count as one that did not answer", i)
+		}
+	}
+	if _, err := d.handOver(t.Context(), g, g.targets[1], &c); err == nil {
+		t.Error("got a hand-over, want an error")
+	}
+	if _, err := d.promoteAndWait(t.Context(), g, g.targets[1], &c); !errors.Is(err, errClaimExpired) {
+		t.Errorf("got %v, want %v", err, errClaimExpired)
+	}
+	env.store.Set("cactusfork-claims", "g", `{"holder":"front-9","open":true}`)
+	d.resumeReplicas(t.Context(), g, &c, g.targets, true)
+	if got := orders.Load(); got != 0 {
+		t.Errorf("got %d orders, want none", got)
+	}
+}
