edge: count changes from the last read that did not show them

Cause: a change that a watch reported counted as of its arrival. A freeze of the daemon, a slow link or a slow store delays that without breaking the connection. Changes from mirrors counted from the watch that reported them, not from the read before.

Change: a change counts from the request of the last read that did not show it. A watch on targets waits for a fifth of the drain time, before three fifths, so that little of it is lost, and the margin at its end falls from 2 s to 1.5 s, as it need not cover late news any more.

Why it works: the store's answer to a read holds all that was acknowledged before the read was requested, so that what it lacks was acknowledged later, however long the next answer takes.

--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -39,7 +39,7 @@
 		removed  []group.TargetID
 		full     bool
 		restored bool
-		// since is when a watch reported the changes, or else the earliest time at which they may have occurred; 0 when that is unknown.
+		// since is the earliest time at which the changes may have occurred; 0 when that is unknown.
 		since clock.Millis
 	}
 	// primaryProof reports a target that proved to be the primary.
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -38,8 +38,9 @@
 	targetStartupTimeout clock.Millis = 600
 	// staleConnectionTime is how long a target may still count the connections of a daemon that lost power.
 	staleConnectionTime = 3 * clock.Second
-	// drainMargin is how long before the end of the drain time a leaving target gets its last work. It leaves time for queued and running statements.
-	drainMargin = 2 * clock.Second
+	// drainMargin is how long before the end of the drain time a leaving target gets its last work, in milliseconds. It leaves time for the
+	// steps on a connection before the statement: up to 400 ms each for a proof of the primary, or a BEGIN, and for the session's values.
+	drainMargin clock.Millis = 1500
 	// answerMargin is how long before the end of the grace period every statement has its answer, in milliseconds, and stopMargin how
 	// long before it the daemon stops. Answers are written in between.
 	answerMargin clock.Millis = 700
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -68,8 +68,6 @@
 	firstRequestAt clock.Millis
 	// version is the version up to which changes have been applied; 0 before the first read.
 	version store.Version
-	// gap is true while changes may have occurred that no watch reported.
-	gap bool
 }
 
 // update is what one call read.
@@ -78,7 +76,7 @@
 	// full is true when objects are all that exist, and restored when they come from a store that was restored from a copy since the last update.
 	full     bool
 	restored bool
-	// since is when a watch reported the changes, or else the earliest time at which they may have occurred; 0 when that is unknown.
+	// since is the earliest time at which the changes may have occurred; 0 when that is unknown.
 	since clock.Millis
 }
 
@@ -94,11 +92,10 @@
 		r, err := f.fetch(ctx, from)
 		if errors.Is(err, store.ErrHistoryGone) {
 			f.d.log.Info("store history expired, listing again", zap.String("prefix", string(f.prefix)), zap.Stringer("from", from))
-			from, f.gap = 0, true
+			from = 0
 			continue
 		}
 		if !f.handleResult(ctx, from, &r, requestedAt, err) {
-			f.gap = true
 			continue
 		}
 		from = r.Version
@@ -117,16 +114,12 @@
 			o.Value = platform.WithoutKeys(o.Value)
 		}
 	}
-	u := update{objects: r.Objects, full: r.Full, since: f.d.clk.Now()}
+	// The last read held all changes that the store had acknowledged when it was requested. When this one arrived says nothing, as a daemon
+	// that stood still, a slow link or a slow store may have held it up.
+	u := update{objects: r.Objects, full: r.Full, since: f.syncedAt}
 	u.restored = f.version > 0 && r.Version.Era() > f.version.Era()
 	f.version = max(f.version, r.Version)
-	if r.Mirrored {
-		u.since = requestedAt - r.Age
-	}
-	if r.Full || f.gap {
-		u.since = f.syncedAt
-	}
-	f.syncedAt, f.gap = max(f.syncedAt, requestedAt-r.Age), false
+	f.syncedAt = max(f.syncedAt, requestedAt-r.Age)
 	f.cache.Apply(r, f.syncedAt)
 	if f.prefix == platform.ConfigPrefix {
 		f.d.configSyncedAt.Store(int64(f.syncedAt))
--- a/internal/process/edge/follow_test.go
+++ b/internal/process/edge/follow_test.go
@@ -181,3 +181,54 @@
 		cancel()
 	}
 }
+
+// Guards against work for a target beyond its drain time because the news that it leaves came late: the daemon stood still, or the link or
+// the store was slow. A change may have occurred at any time since the request of the last read that did not show it.
+func TestChangesCountFromTheReadBefore(t *testing.T) {
+	leaving := func(v store.Version) []store.Object {
+		o := entryObject("a", v)
+		o.Value = []byte(strings.Replace(string(o.Value), "ready", "draining", 1))
+		return []store.Object{o}
+	}
+	type read struct {
+		requestedAt, arrivedAt clock.Millis
+		result                 mirror.Result
+	}
+	list := read{1000, 1010, mirror.Result{Full: true, Version: 10, Objects: []store.Object{entryObject("a", 3)}}}
+	tests := []struct {
+		name  string
+		reads []read
+		want  clock.Millis
+	}{
+		{"watch that waited", []read{list, {1010, 2400, mirror.Result{Version: 11, Objects: leaving(11)}}}, 1000},
+		{"watch that waited until the daemon woke", []read{list, {1010, 6000, mirror.Result{Version: 11, Objects: leaving(11)}}}, 1000},
+		{"watch behind one without changes", []read{list, {1010, 2410, mirror.Result{Version: 10}}, {2410, 2420, mirror.Result{Version: 11, Objects: leaving(11)}}}, 1010},
+		{"mirror", []read{list, {1010, 6000, mirror.Result{Version: 11, Objects: leaving(11), Mirrored: true, Age: 40}}}, 1000},
+		{"mirror behind a mirror", []read{
+			list, {3000, 3010, mirror.Result{Version: 10, Mirrored: true, Age: 700}},
+			{3010, 6000, mirror.Result{Version: 11, Objects: leaving(11), Mirrored: true, Age: 40}},
+		}, 2300},
+		{"list", []read{list, {5000, 5010, mirror.Result{Full: true, Version: 11, Objects: leaving(11)}}}, 1000},
+		{"first list", []read{{1000, 1010, mirror.Result{Full: true, Version: 11, Objects: leaving(11)}}}, 0},
+		{"watch behind a first list of unknown age", []read{
+			{1000, 1010, mirror.Result{Full: true, Version: 10, Objects: []store.Object{entryObject("a", 3)}, Age: 1010}},
+			{1010, 1020, mirror.Result{Version: 11, Objects: leaving(11)}},
+		}, 0},
+	}
+	for _, tt := range tests {
+		m := clock.NewManual(1)
+		f := newEntryFollower(&m.Clock)
+		got := clock.Millis(-1)
+		for i := range tt.reads {
+			r := &tt.reads[i]
+			m.Advance(r.arrivedAt - m.Now())
+			f.follower.process(t.Context(), &r.result, r.requestedAt)
+			for len(f.control.inbox) > 0 {
+				got = (<-f.control.inbox).(entriesUpdate).since
+			}
+		}
+		if got != tt.want {
+			t.Errorf("%s: got the change since %d ms, want %d", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/process/edge/settings.go
+++ b/internal/process/edge/settings.go
@@ -150,5 +150,6 @@
 // configWatchTimeout returns how long a watch on the configuration waits. A watch does not report changes that the store has dropped from its history, so a third of ConfigApply is left for the list that follows.
 func (s *Settings) configWatchTimeout() clock.Millis { return s.Platform.ConfigApply * 2 / 3 }
 
-// entriesWatchTimeout returns how long a watch on the targets' entries waits. The rest of the drain time is left to stop work at a target that drains.
-func (s *Settings) entriesWatchTimeout() clock.Millis { return s.Daemon.Drain * 3 / 5 }
+// entriesWatchTimeout returns how long a watch on the targets' entries waits. A target counts as leaving from the request of the watch before
+// on, so that the length of a watch is lost from the time in which it may get work.
+func (s *Settings) entriesWatchTimeout() clock.Millis { return s.Daemon.Drain / 5 }
