relay: leave a busy target at its drain limit

It counts as new work there.

Change: behind each refusal of a first statement the lease is asked whether the target is past its drain limit. If so, the transaction, of which nothing has run, begins on another target.

Evidence: TestBusyTargetIsLeftAtItsDrainLimit failed before, "got 25 statements at the leaving target, want 2".

--- a/internal/connection/relay/harness_test.go
+++ b/internal/connection/relay/harness_test.go
@@ -28,6 +28,8 @@
 	log     position.Position
 	// executed holds the statements of callers that were run, each with the values in force.
 	executed []string
+	// departed is true once the target may get no new work.
+	departed bool
 	// commits counts the writes and transactions that were committed.
 	commits int
 	// intercept is called before a command runs. It may reply in its place, or return an error in place of the reply.
@@ -267,7 +269,7 @@
 		}
 		pool := b.pools[f.id]
 		return &Lease{
-			Conn: conn, Target: f.id, Primary: i == 0, ReleaseSlot: func() {},
+			Conn: conn, Target: f.id, Primary: i == 0, ReleaseSlot: func() {}, Departed: func() bool { return f.departed },
 			AcquireSlot: func(context.Context, *LeaseRequest) (func(), error) { return func() {}, nil },
 			ReleaseConn: func() { pool.Put(conn) },
 			Drain:       func() { pool.Drain(conn) },
--- a/internal/connection/relay/seams.go
+++ b/internal/connection/relay/seams.go
@@ -79,6 +79,8 @@
 	Primary bool
 	// AcquireSlot waits for a slot at the target for a further statement; release gives back this slot.
 	AcquireSlot func(ctx context.Context, req *LeaseRequest) (release func(), err error)
+	// Departed reports whether the target is past its drain limit, so that nothing may begin on it.
+	Departed func() bool
 	// ReleaseSlot gives back the slot of the first statement.
 	ReleaseSlot func()
 	// ReleaseConn gives back the connection, which must not be used afterwards.
--- a/internal/connection/relay/session_test.go
+++ b/internal/connection/relay/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -195,6 +196,31 @@
 	}
 }
 
+// Guards against the first statement of a transaction that reaches a leaving target past its drain limit, as it is repeated while the target
+// is busy.
+func TestBusyTargetIsLeftAtItsDrainLimit(t *testing.T) {
+	b := newTestBed(t, topology.Bounded)
+	replica, reads := b.targets[1], 0
+	replica.intercept = func(c *link.Command) (*link.Reply, error) {
+		if !strings.HasPrefix(c.Text, "READ") {
+			return nil, nil
+		}
+		reads++
+		replica.departed = reads == 2
+		return &link.Reply{Code: statement.Busy, State: statement.Open, Point: replica.point()}, nil
+	}
+	b.exec("BEGIN READ")
+	if got, want := b.exec("READ a"), "body by p, T"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if reads != 2 {
+		t.Errorf("got %d statements at the leaving target, want 2", reads)
+	}
+	if got, want := b.exec("COMMIT"), "body by p, I"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
 func TestIsolatedDaemonEndsRefusedSessions(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/internal/connection/relay/transaction.go
+++ b/internal/connection/relay/transaction.go
@@ -28,7 +28,7 @@
 		e.refuse(err)
 		return
 	}
-	e.runOnLease(ctx, s.tx.lease, leave)
+	e.runOnLease(ctx, s.tx.lease, leave) // only a first statement is retried
 }
 
 // attemptBegin begins the transaction on one target and runs its first statement there.
@@ -64,19 +64,19 @@
 		e.s.deps().PrimaryProven(e.req.Group, l.Target, placement.Sample{Point: reply.Point, RequestedAt: sentAt})
 	}
 	tx.lease = l
-	e.runOnLease(ctx, l, l.ReleaseSlot)
-	return attemptDone
+	return e.runOnLease(ctx, l, l.ReleaseSlot)
 }
 
-// runOnLease runs the statement on the connection of the transaction. The function leave gives back the slot.
-func (e *execution) runOnLease(ctx context.Context, l *Lease, leave func()) {
+// runOnLease runs the statement on the connection of the transaction. The function leave gives back the slot. Only the first statement is
+// retried on another target.
+func (e *execution) runOnLease(ctx context.Context, l *Lease, leave func()) attemptResult {
 	defer leave()
 	e.outcome.Attempts = max(e.outcome.Attempts, 1)
 	e.outcome.Target, e.outcome.Primary = l.Target, l.Primary
 	for {
 		if err := e.setUp(l, e.deadline); err != nil {
 			e.endTransaction(err, false)
-			return
+			return attemptDone
 		}
 		sentAt := e.s.now()
 		reply, err := l.Conn.Run(e.deadline, e.command(position.Point{}))
@@ -84,21 +84,28 @@
 			l.Conn.Break()
 			e.s.deps().ConnFailed(e.req.Group, l.Target, l.Conn.LastSend(), err)
 			e.endTransaction(err, e.st.Verb == statement.Commit && e.s.tx.wrote)
-			return
+			return attemptDone
 		}
 		e.outcome.Latency = e.s.now() - sentAt
 		e.s.deps().TargetReplied(e.req.Group, l.Target, &reply, e.outcome.Latency)
 		if reply.Completed {
 			leave() // a reply may wait for memory
 			e.completeInTransaction(l, &reply)
-			return
+			return attemptDone
 		}
 		if reply.State == statement.Open && e.canRepeat(&reply) && e.s.deps().Clock.Sleep(ctx, retryDelay) == nil {
+			if e.req.Stage == admission.Begins && l.Departed() {
+				// The target was busy until its drain limit. Nothing has run.
+				e.outcome.Cause = reply.Code.String()
+				e.req.Need.Tried = append(e.req.Need.Tried, l.Target)
+				e.s.returnTransactionLease()
+				return attemptRetry
+			}
 			e.outcome.Attempts++
 			continue
 		}
 		e.handleErrorReplyInTransaction(&reply)
-		return
+		return attemptDone
 	}
 }
 
--- a/internal/process/edge/acquire.go
+++ b/internal/process/edge/acquire.go
@@ -69,6 +69,7 @@
 	case err == nil:
 		return &relay.Lease{
 			Conn: conn, Target: id, Primary: id == g.primary, AcquireSlot: t.acquireSlot, ReleaseSlot: release,
+			Departed:    func() bool { return t.candidate(false).Departed },
 			ReleaseConn: func() { t.pool.Put(conn) },
 			Drain:       func() { t.pool.Drain(conn) },
 		}, nil
