edge: give no work to targets first heard of as they leave

Cause: since when a target leaves was kept with the target and forgotten with it. An entry that was new to the daemon and said draining began a new drain time.

Change: a target that is first heard of as it leaves counts as past its drain limit. That covers a daemon that has forgotten it, one that has started meanwhile, another address, and an entry that was malformed for a time.

--- a/internal/process/edge/control.go
+++ b/internal/process/edge/control.go
@@ -280,7 +280,8 @@
 		if e.Primary {
 			known.primaryAt = now
 		}
-		known.setLeaving(e.Draining, m.since)
+		// When it began to leave is unknown: its entry may have lapsed meanwhile, or this daemon has just started.
+		known.setLeaving(e.Draining, 0)
 		c.logEntry("target added", e)
 		return
 	}
--- a/internal/process/edge/leave_test.go
+++ b/internal/process/edge/leave_test.go
@@ -48,6 +48,49 @@
 	}
 }
 
+// Guards against new work for a leaving target whose entry lapses and comes back, or is first heard of as it leaves.
+func TestLeavingTargetThatComesBackGetsNoWork(t *testing.T) {
+	entry := func(draining bool, revision topology.Revision) topology.Target {
+		return topology.Target{ID: "t", Group: "g", Address: "127.0.0.1:1", StartedAt: 5, Slots: 2, Draining: draining, Revision: revision}
+	}
+	const absent clock.Millis = 4000
+	tests := []struct {
+		name    string
+		before  []topology.Target
+		back    topology.Target
+		removed bool
+		want    bool
+	}{
+		{"lapsed and was forgotten", []topology.Target{entry(false, 1), entry(true, 2)}, entry(true, 4), true, true},
+		{"lapsed and was forgotten before it announced that it leaves", []topology.Target{entry(false, 1)}, entry(true, 4), true, true},
+		{"unknown before", nil, entry(true, 4), false, true},
+		{"lapsed and does not leave", []topology.Target{entry(false, 1)}, entry(false, 4), true, false},
+	}
+	for _, tt := range tests {
+		m := clock.NewManual(1)
+		set := &Settings{Daemon: DaemonSettings{ID: "d", Drain: 7000}, Limits: LimitSettings{Descriptors: 1000}}
+		d := New("", set, &m.Clock, zap.NewNop())
+		c := d.control
+		d.storeUp.Store(true)
+		c.handle(t.Context(), entriesUpdate{full: true})
+		for _, e := range tt.before {
+			m.Advance(100)
+			c.handle(t.Context(), entriesUpdate{entries: []topology.Target{e}, since: m.Now()})
+		}
+		c.handle(t.Context(), entriesUpdate{removed: []group.TargetID{"t"}, since: m.Now()})
+		m.Advance(absent)
+		c.tick(t.Context())
+		if g := c.groups["g"]; tt.removed && g.members["t"] != nil {
+			t.Fatalf("%s: got the target kept, want it forgotten", tt.name)
+		}
+		c.handle(t.Context(), entriesUpdate{entries: []topology.Target{tt.back}, since: m.Now()})
+		m.Advance(1)
+		if got := c.groups["g"].members["t"].candidate(false).Departed; got != tt.want {
+			t.Errorf("%s: got it past its drain limit %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
+
 func TestChangesAfterAnOutageCountFromItsStart(t *testing.T) {
 	env := newTestEnv(t)
 	d := env.start("front-1")
