edge: wait for promotions that the platform has accepted

An earlier one that the platform accepts just before is carried out some hundred ms later: its target then lacks what was acknowledged meanwhile, or leads for a moment and is replaced without a pause.

Change: both settle earlier promotions the same way: promotion of the present primary, which has the platform refuse those to come, a wait for those accepted (promotionDelay), a proof that the primary still leads, and a renewed claim. Only claims that are unsettled are affected; a hand-over under one takes 1.5 s longer.

Evidence: TestResumeWaitsForAnAcceptedPromotion failed before, "got g-1 promoted with log [], want the acknowledged "a 25" in it", and TestHandOverWaitsForAnAcceptedPromotion, "got a hand-over of a target that is not the primary any more".

--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -30,6 +30,8 @@
 	claimReadTimeout clock.Millis = 500
 	// promotionTimeout bounds the wait for a promoted target to become the primary.
 	promotionTimeout = 3 * clock.Second
+	// promotionDelay is how long after it has accepted a promotion the platform may carry it out, in milliseconds. It takes up to 1 s.
+	promotionDelay clock.Millis = 1500
 	// promotionPollInterval is the time between two probes of a promoted target, in milliseconds.
 	promotionPollInterval clock.Millis = 50
 	// catchUpTimeout bounds the wait for a replica to receive everything that a demoted primary holds.
@@ -153,6 +155,28 @@
 	d.terms.set(g, c.record.NewestTerm)
 }
 
+// settlePromotions makes sure that no promotion of an earlier claim is carried out any more, and that the known primary leads. Its own
+// promotion changes nothing, but has the platform refuse the earlier ones; one that was accepted before that ends meanwhile.
+func (d *Daemon) settlePromotions(ctx context.Context, g *groupView, c *heldClaim) error {
+	primary := g.target(g.primary)
+	if primary == nil {
+		return fmt.Errorf("settle promotions: %w", errNotPrimary)
+	}
+	if err := d.promote(ctx, g.id, g.primary, c.fence); err != nil {
+		return fmt.Errorf("settle promotions: %w", err)
+	}
+	if err := d.clk.Sleep(ctx, promotionDelay); err != nil {
+		return fmt.Errorf("settle promotions: %w", err)
+	}
+	point, err := d.provePrimary(ctx, g.id, primary)
+	if err != nil {
+		return fmt.Errorf("settle promotions: %w", err)
+	}
+	d.settle(g.id, c, primary, point.Term)
+	// The claim may have expired meanwhile.
+	return d.writeClaim(ctx, g.id, c, true)
+}
+
 // takeClaim writes a claim over one that is closed or expired.
 func (d *Daemon) takeClaim(ctx context.Context, g group.ID) (heldClaim, error) {
 	current, version, err := d.readClaim(ctx, g)
@@ -287,6 +311,11 @@
 	if best < 0 {
 		return nil, errNoSuccessor
 	}
+	if c.record.Unsettled {
+		if err := d.settlePromotions(ctx, g, c); err != nil {
+			return nil, err
+		}
+	}
 	return d.handOver(ctx, g, g.targets[best], c)
 }
 
--- a/internal/process/edge/quorum.go
+++ b/internal/process/edge/quorum.go
@@ -248,16 +248,11 @@
 	if err != nil {
 		return fmt.Errorf("settle: %w", err)
 	}
-	if c.record.Unsettled {
-		// A promotion whose response was lost may still be executed. This one changes nothing and has the platform refuse the earlier one.
-		if err := d.promote(ctx, g.id, g.primary, c.fence); err != nil {
-			return fmt.Errorf("settle: %w", err)
-		}
-		if p, err := d.provePrimary(ctx, g.id, primary); err == nil {
-			point = p // its term may be a later one
-		}
+	if !c.record.Unsettled {
+		d.settle(g.id, &c, primary, point.Term)
+	} else if err := d.settlePromotions(ctx, g, &c); err != nil {
+		return err
 	}
-	d.settle(g.id, &c, primary, point.Term)
 	d.resumeReplicas(ctx, g, &c, g.replicas(), true)
 	return nil
 }
--- a/internal/process/edge/resume_test.go
+++ b/internal/process/edge/resume_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -9,6 +11,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusfork/cactusfork/internal/connection/link"
+	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/promotion"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/platform/standin"
@@ -181,3 +185,91 @@
 		t.Errorf("got %d orders, want none", got)
 	}
 }
+
+// promotedMeanwhile has the promotion of a target, which another daemon had requested, take effect some time after a daemon that settles it
+// asks for that of the present primary.
+func (e *testEnv) promotedMeanwhile(id string) (promoted <-chan struct{}) {
+	done := make(chan struct{})
+	var settled atomic.Bool
+	promote := e.store.Promote
+	e.store.Promote = func(service, requested string) int {
+		if requested == e.group.Targets[0].ID {
+			if !settled.Swap(true) {
+				time.AfterFunc(600*time.Millisecond, func() {
+					promote(service, id)
+					close(done)
+				})
+			}
+			return http.StatusOK
+		}
+		return promote(service, requested)
+	}
+	return done
+}
+
+// Guards against replicas that receive again while a promotion that the platform has accepted before is being carried out.
+func TestResumeWaitsForAnAcceptedPromotion(t *testing.T) {
+	t.Parallel()
+	env := newSynchronousEnv(t)
+	d := env.start("front-1")
+	env.awaitHolders(d, "g-0 g-1 g-2")
+	// A daemon that has stopped has paused the replicas and asked for the promotion of g-1, which receives nothing.
+	env.group.Targets[1].SetReplicationPaused(true)
+	env.store.Set("cactusfork-claims", "g", `{"holder":"front-9","unsettled":true,"pending":[{"id":"g-1","started-at":1700000000000}]}`)
+	for _, id := range []group.TargetID{"g-1", "g-2"} {
+		if _, err := d.runCommand(t.Context(), d.view.Load().findTarget("g", id), link.Command{Kind: link.Pause, Term: 2}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	promoted := env.promotedMeanwhile("g-1")
+	address := d.view.Load().findTarget("g", "g-0").meta.Load().Address
+	var acknowledged []string
+	n := 0
+	env.eventually("the promotion is carried out", func() bool {
+		n++
+		session, _ := standin.Connect(t.Context(), address, "g", 100*time.Millisecond)
+		if data := fmt.Sprintf("a %d", n); session != nil && standin.Completed(session.Query("WRITE "+data)) {
+			acknowledged = append(acknowledged, data)
+		}
+		if session != nil {
+			session.Close()
+		}
+		select {
+		case <-promoted:
+			return true
+		default:
+			return false
+		}
+	})
+	for _, data := range acknowledged {
+		if log := env.group.Targets[1].Log(); !slices.Contains(log, data) {
+			t.Fatalf("got g-1 promoted with log %q, want the acknowledged %q in it", log, data)
+		}
+	}
+}
+
+// Guards against a hand-over that replaces the target of an earlier promotion, which takes effect as the hand-over runs.
+func TestHandOverWaitsForAnAcceptedPromotion(t *testing.T) {
+	t.Parallel()
+	env := newSynchronousEnv(t)
+	d := env.start("front-1")
+	env.awaitHolders(d, "g-0 g-1 g-2")
+	env.store.Set("cactusfork-claims", "g", `{"holder":"front-9","unsettled":true,"pending":[{"id":"g-2","started-at":1700000000000}]}`)
+	g := d.view.Load().groups["g"]
+	promoted := env.promotedMeanwhile("g-2")
+	c, err := d.takeClaim(t.Context(), "g")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := d.selectSuccessor(t.Context(), g, promotion.HandOver, &c); err == nil {
+		t.Error("got a hand-over of a target that is not the primary any more, want an error")
+	}
+	select {
+	case <-promoted:
+	default:
+		t.Error("got the hand-over ended before the earlier promotion, want it to wait")
+	}
+	if !c.record.Unsettled {
+		t.Error("got the promotion settled, want it unsettled")
+	}
+}
