edge: keep holders that only the store misses

One that is cut off from the store alone goes on receiving, and the primary acknowledges commits by it. The other replica, which may lag, could then be promoted.

Change: the record has the holders' addresses, and a holder without an entry is asked for its status there before it is dropped.

Evidence: TestReplicaThatOnlyTheStoreMissesStaysAHolder failed before, "holders are g-0 g-1 g-2: timed out after 10s".

Why it works: what answers under that id is the run that receives; a later run of the same id has an entry. Not covered: a replica that only the primary reaches.

--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -327,10 +327,11 @@
 	if synchronous == 0 {
 		return nil, nil
 	}
-	holders, _, err := d.readHolders(ctx, g.id)
+	record, _, err := d.readHolders(ctx, g.id)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNoSuccessor, err)
 	}
+	holders := record.Holders
 	now := d.clk.Now()
 	for i, t := range g.targets {
 		members[i].MayResume = c.resumptions.Pending(t.holder(), now)
--- a/internal/process/edge/quorum.go
+++ b/internal/process/edge/quorum.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -15,6 +16,7 @@
 	store "github.com/cactusfork/cactusfork/internal/process/platform"
 	"github.com/cactusfork/cactusfork/internal/version/group"
 	"github.com/cactusfork/cactusfork/internal/version/promotion"
+	"github.com/cactusfork/cactusfork/internal/version/topology"
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/pkg/position"
 )
@@ -41,6 +43,8 @@
 // holdersRecord is the stored record of a group's holders.
 type holdersRecord struct {
 	Holders []promotion.Holder `json:"holders"`
+	// Addresses are the last known addresses of the holders. Records of earlier releases have none.
+	Addresses map[group.TargetID]string `json:"addresses,omitempty"`
 }
 
 var errNoHolders = errors.New("targets that may hold acknowledged commits are not recorded")
@@ -55,8 +59,8 @@
 type keptGroup struct {
 	// nextAt is when the group is checked next.
 	nextAt clock.Millis
-	// holders and version are the record as last read or written; holders is nil before.
-	holders []promotion.Holder
+	// record and version are the record as last read or written; it has no holders before.
+	record  holdersRecord
 	version store.Version
 	// absentSince is when a recorded holder was first found to be unknown.
 	absentSince map[promotion.Holder]clock.Millis
@@ -98,7 +102,7 @@
 	}
 	interval := min(max(holdersIntervalPerDaemon*clock.Millis(len(*k.d.peers.list.Load())), minHoldersInterval), maxHoldersInterval)
 	kept.nextAt = now + interval/2 + clock.Millis(rand.Int64N(int64(interval)))
-	if kept.holders == nil {
+	if kept.record.Holders == nil {
 		if err := k.load(ctx, g.id, kept); err != nil {
 			k.d.warn("reading commit holders failed", err)
 			return
@@ -110,41 +114,41 @@
 		return // verifyPrimary has recorded the failure
 	}
 	present := k.d.holdings(ctx, g)
-	k.update(ctx, g.id, kept, present, point, synchronous)
+	k.update(ctx, g, kept, present, point, synchronous)
 	k.endStall(ctx, g, kept, present, point)
 }
 
-// load reads the record of a group, or leaves the holders nil if there is none.
+// load reads the record of a group, or leaves it without holders if there is none.
 func (k *holderKeeper) load(ctx context.Context, g group.ID, kept *keptGroup) error {
-	holders, version, err := k.d.readHolders(ctx, g)
+	record, version, err := k.d.readHolders(ctx, g)
 	if errors.Is(err, errNoHolders) {
 		kept.version = version
 		return nil
 	}
-	kept.holders, kept.version = holders, version
+	kept.record, kept.version = record, version
 	return err
 }
 
-// readHolders returns the recorded holders of a group; errNoHolders if there is no record, or a malformed one of the returned version.
-func (d *Daemon) readHolders(ctx context.Context, g group.ID) ([]promotion.Holder, store.Version, error) {
+// readHolders returns the record of a group's holders; errNoHolders if there is none, or a malformed one of the returned version.
+func (d *Daemon) readHolders(ctx context.Context, g group.ID) (holdersRecord, store.Version, error) {
 	o, err := d.store.Get(ctx, store.Key(holdersPrefix+string(g)))
 	if errors.Is(err, store.ErrNotFound) {
-		return nil, 0, errNoHolders
+		return holdersRecord{}, 0, errNoHolders
 	}
 	if err != nil {
-		return nil, 0, fmt.Errorf("read commit holders: %w", err)
+		return holdersRecord{}, 0, fmt.Errorf("read commit holders: %w", err)
 	}
 	var r holdersRecord
 	if err := json.Unmarshal(o.Value, &r); err != nil || len(r.Holders) == 0 {
 		d.log.Warn("stored commit holders are malformed", zap.String("group", string(g)), zap.Error(err))
-		return nil, o.Version, errNoHolders
+		return holdersRecord{}, o.Version, errNoHolders
 	}
-	return r.Holders, o.Version, nil
+	return r, o.Version, nil
 }
 
 // noteAbsent records since when the recorded holders have been unknown.
 func (kept *keptGroup) noteAbsent(g *groupView, now clock.Millis) {
-	for _, h := range kept.holders {
+	for _, h := range kept.record.Holders {
 		if g.hasHolder(h) {
 			delete(kept.absentSince, h)
 		} else if _, ok := kept.absentSince[h]; !ok {
@@ -182,31 +186,57 @@
 	return list
 }
 
-// update writes the record if the holders have changed.
-func (k *holderKeeper) update(ctx context.Context, g group.ID, kept *keptGroup, present []promotion.Holding, primary position.Point, synchronous int) {
+// update writes the record if the holders or their addresses have changed.
+func (k *holderKeeper) update(ctx context.Context, g *groupView, kept *keptGroup, present []promotion.Holding, primary position.Point, synchronous int) {
 	now := k.d.clk.Now()
 	gone := func(h promotion.Holder) bool {
 		since, ok := kept.absentSince[h]
-		return ok && now-since >= goneTime
+		return ok && now-since >= goneTime && !k.d.runsUnregistered(ctx, g, h, kept.record.Addresses[h.ID])
 	}
-	holders, ok := promotion.UpdateHolders(kept.holders, present, gone, primary, synchronous)
-	if !ok || slices.Equal(holders, kept.holders) {
+	holders, ok := promotion.UpdateHolders(kept.record.Holders, present, gone, primary, synchronous)
+	if !ok {
 		return
 	}
-	value, err := json.Marshal(holdersRecord{Holders: holders})
+	record := holdersRecord{Holders: holders, Addresses: make(map[group.TargetID]string, len(holders))}
+	for _, h := range holders {
+		if t := g.target(h.ID); t != nil {
+			record.Addresses[h.ID] = t.meta.Load().Address
+		} else if address := kept.record.Addresses[h.ID]; address != "" {
+			record.Addresses[h.ID] = address
+		}
+	}
+	if slices.Equal(holders, kept.record.Holders) && maps.Equal(record.Addresses, kept.record.Addresses) {
+		return
+	}
+	value, err := json.Marshal(record)
 	if err != nil {
 		k.d.warn("encoding commit holders failed", err)
 		return
 	}
-	version, err := k.d.store.Put(ctx, store.Key(holdersPrefix+string(g)), value, kept.version)
-	k.d.log.Info("commit holders changed", zap.String("group", string(g)), zap.Any("holders", holders), zap.Any("before", kept.holders),
+	version, err := k.d.store.Put(ctx, store.Key(holdersPrefix+string(g.id)), value, kept.version)
+	k.d.log.Info("commit holders changed", zap.String("group", string(g.id)), zap.Any("holders", holders), zap.Any("before", kept.record.Holders),
 		zap.Stringer("primary-point", primary), zap.Stringer("version", version), zap.Error(err))
 	if err != nil {
 		// Another daemon may have written it; the next check reads it again.
-		kept.holders, kept.version = nil, 0
+		kept.record, kept.version = holdersRecord{}, 0
 		return
 	}
-	kept.holders, kept.version = holders, version
+	kept.record, kept.version = record, version
+}
+
+// runsUnregistered reports whether a target that has no entry still answers at its last address. It may be cut off from the store alone, and
+// then receives commits and lets the primary acknowledge them. A target of that ID with an entry is a later run, which has replaced it.
+func (d *Daemon) runsUnregistered(ctx context.Context, g *groupView, h promotion.Holder, address string) bool {
+	if address == "" || g.target(h.ID) != nil {
+		return false
+	}
+	t := d.newTarget(&topology.Target{ID: h.ID, Group: g.id, Address: address, StartedAt: h.StartedAt})
+	defer t.pool.Close()
+	_, err := d.runCommand(ctx, t, link.Command{Kind: link.Status})
+	if err == nil {
+		d.log.Info("target without an entry answers", zap.String("group", string(g.id)), zap.String("target", string(h.ID)))
+	}
+	return err == nil
 }
 
 // endStall lets the replicas receive again if one has received nothing since the last check although the primary was ahead then. A
--- a/internal/process/edge/quorum_test.go
+++ b/internal/process/edge/quorum_test.go
@@ -29,12 +29,12 @@
 func (e *testEnv) awaitHolders(d *daemon, want string) {
 	e.t.Helper()
 	e.eventually("holders are "+want, func() bool {
-		holders, _, err := d.readHolders(e.t.Context(), "g")
+		record, _, err := d.readHolders(e.t.Context(), "g")
 		if err != nil {
 			return false
 		}
 		var ids []string
-		for _, h := range holders {
+		for _, h := range record.Holders {
 			ids = append(ids, string(h.ID))
 		}
 		return strings.Join(ids, " ") == want
@@ -111,6 +111,32 @@
 	}
 }
 
+// Guards against a promotion of a replica that lacks acknowledged commits, after the only one that holds them was cut off from the store
+// for so long that its entry has expired, though it still receives.
+func TestReplicaThatOnlyTheStoreMissesStaysAHolder(t *testing.T) {
+	t.Parallel()
+	env := newSynchronousEnv(t)
+	first := env.start("front-1")
+	env.awaitHolders(first, "g-0 g-1 g-2")
+	env.store.DeleteTarget("g-2")
+	env.eventually("the target is removed", func() bool { return first.view.Load().findTarget("g", "g-2") == nil })
+	// A daemon that starts meanwhile has never known it.
+	second := env.start("front-2")
+	time.Sleep((goneTime + 2*maxHoldersInterval).Duration())
+	env.awaitHolders(first, "g-0 g-1 g-2")
+	primary, lagging := env.group.Targets[0], env.group.Targets[1]
+	lagging.SetReplicationPaused(true)
+	env.writeUntilAcknowledged(first, "a 1")
+	first.writeInBackground()
+	second.writeInBackground()
+	setUnreachable(primary, true)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if p := env.group.Primary(); p != nil && p != primary {
+			t.Fatalf("got %s promoted with %q, want none, as it lacks an acknowledged commit", p.ID, p.Log())
+		}
+	}
+}
+
 // Guards against a promotion in a group of which no daemon has seen which targets may hold acknowledged commits.
 func TestNoPromotionWithoutKnownHolders(t *testing.T) {
 	env := newSynchronousEnv(t)
