--- a/internal/process/edge/follow_test.go
+++ b/internal/process/edge/follow_test.go
@@ -205,7 +205,8 @@
 		{"watch behind one without changes", []read{list, {1010, 2410, mirror.Result{Version: 10}}, {2410, 2420, mirror.Result{Version: 11, Objects: leaving(11)}}}, 1010},
 		{"mirror", []read{list, {1010, 6000, mirror.Result{Version: 11, Objects: leaving(11), Mirrored: true, Age: 40}}}, 1000},
 		{"mirror behind a mirror", []read{
-			list, {3000, 3010, mirror.Result{Version: 10, Mirrored: true, Age: 700}},
+			list,
+			{3000, 3010, mirror.Result{Version: 10, Mirrored: true, Age: 700}},
 			{3010, 6000, mirror.Result{Version: 11, Objects: leaving(11), Mirrored: true, Age: 40}},
 		}, 2300},
 		{"list", []read{list, {5000, 5010, mirror.Result{Full: true, Version: 11, Objects: leaving(11)}}}, 1000},
