relay: refund no operation that a target may have run

A transaction whose first statement ran and failed, or got no answer, ends with ABORTED, which promises that nothing is kept.

Change: an execution records whether a target may have run its statement, and only one of which that is excluded gives its token back.

Evidence: TestOperationsThatRanAreNotRefunded failed before in its two rows with a statement that ran: "got "rejected, E" and 1 refunded, want "rejected, E" and 0".

--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -49,6 +49,8 @@
 	minSampleTime clock.Millis
 	// hedged is true once an attempt was abandoned because its reply did not arrive in time.
 	hedged bool
+	// mayHaveRun is true once a target has run the statement, or may have.
+	mayHaveRun bool
 }
 
 // attemptResult says how an execution continues after an attempt.
@@ -101,11 +103,16 @@
 		}
 	}
 	e.runAttempts(ctx, attempt)
-	if w != nil && e.outcome.Code.NotRun() {
+	if w != nil && e.outcome.Code.NotRun() && !e.mayHaveRun {
 		e.s.deps().Refund(w, e.asOf)
 	}
 }
 
+// recordRun records whether a target may have run the statement, by the outcome of sending it.
+func (e *execution) recordRun(r *link.Reply, err error) {
+	e.mayHaveRun = e.mayHaveRun || err != nil || r.Completed || !r.Code.NotRun() && r.Code != statement.NoStatement
+}
+
 // runAttempts makes attempts until the caller has a reply.
 func (e *execution) runAttempts(ctx context.Context, attempt func(ctx context.Context, l *Lease) attemptResult) {
 	for {
@@ -221,6 +228,7 @@
 		// The retry budget is used up. A second attempt would add to the load that slows down the first one.
 		reply, err = l.Conn.Receive(e.deadline)
 	}
+	e.recordRun(&reply, err)
 	if err != nil {
 		return e.handleConnError(l, err)
 	}
--- a/internal/connection/relay/transaction.go
+++ b/internal/connection/relay/transaction.go
@@ -80,6 +80,7 @@
 		}
 		sentAt := e.s.now()
 		reply, err := l.Conn.Run(e.deadline, e.command(position.Point{}))
+		e.recordRun(&reply, err)
 		if err != nil {
 			l.Conn.Break()
 			e.s.deps().ConnFailed(e.req.Group, l.Target, l.Conn.LastSend(), err)
--- a/internal/connection/relay/workspace_test.go
+++ b/internal/connection/relay/workspace_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/request/statement"
 	"github.com/cactusfork/cactusfork/internal/version/topology"
 	"github.com/cactusfork/cactusfork/internal/version/workspace"
@@ -127,6 +129,40 @@
 }
 
 // Guards against an operation that is not run and is counted nevertheless, and against one beyond the limit that runs.
+// Guards against operations beyond the limit of a workspace: the token of one that a target has run is not given back, whatever its caller
+// is told.
+func TestOperationsThatRanAreNotRefunded(t *testing.T) {
+	tests := []struct {
+		name       string
+		code       statement.Code
+		err        error
+		statements []string
+		want       string
+		refunded   int
+	}{
+		{"first statement of a transaction fails", statement.Failed, nil, []string{"BEGIN", "WRITE a 1"}, "rejected, E", 0},
+		{"first statement of a transaction gets no answer", statement.OK, os.ErrDeadlineExceeded, []string{"BEGIN", "WRITE a 1"}, "rejected, E", 0},
+		{"first statement of a transaction is refused", statement.ReadOnly, nil, []string{"BEGIN", "WRITE a 1"}, "read-only, E", 1},
+	}
+	for _, tt := range tests {
+		b := newTestBed(t, topology.Strong)
+		_, _, refunded := withAccess(b)
+		b.targets[0].intercept = func(c *link.Command) (*link.Reply, error) {
+			if !strings.HasPrefix(c.Text, "WRITE") {
+				return nil, nil
+			}
+			return &link.Reply{Code: tt.code, State: statement.Aborted}, tt.err
+		}
+		got := ""
+		for _, text := range tt.statements {
+			got = b.exec(text)
+		}
+		if got != tt.want || *refunded != tt.refunded {
+			t.Errorf("%s: got %q and %d refunded, want %q and %d", tt.name, got, *refunded, tt.want, tt.refunded)
+		}
+	}
+}
+
 func TestRefusedOperations(t *testing.T) {
 	b := newTestBed(t, topology.Strong)
 	_, admitted, refunded := withAccess(b)
