relay, route: take no sample of the millisecond of a read's arrival

Cause: a strong read accepts a sample of the primary's position requested at its arrival or later, and both times are whole milliseconds, rounded down. One requested earlier within the same millisecond passed. serve compared the same way.

Change: the sample has to be of a later millisecond. The request for one waits until then, so that no second one is needed. serve refuses samples of the arrival's millisecond that it has already; one that it requests for the read counts as before. Two rows of TestChooseForReads had the fault as expectation: a sample of the arrival's millisecond is now wanted refused, which is stricter, and the ages beside the limit move by that millisecond.

Why it works: of two times rounded down, the one of a later millisecond is later.

--- a/internal/connection/relay/run.go
+++ b/internal/connection/relay/run.go
@@ -153,9 +153,11 @@
 
 // setFloor sets the floor of the read. It returns false if it has refused the read instead.
 func (e *execution) setFloor(ctx context.Context) bool {
-	asOf := e.asOf
+	// Times are whole milliseconds, rounded down. A sample that was requested in the millisecond of the read's arrival may lack a commit
+	// that was acknowledged before the read.
+	asOf := e.asOf + 1
 	if e.route.Consistency != topology.Strong {
-		asOf += stalenessMargin - e.route.MaxStaleness
+		asOf = e.asOf + stalenessMargin - e.route.MaxStaleness
 	}
 	sample, err := e.s.deps().Sample(ctx, e.req.Group, max(asOf, e.minSampleTime), e.deadline)
 	if err != nil {
--- a/internal/connection/relay/session_test.go
+++ b/internal/connection/relay/session_test.go
@@ -291,3 +291,24 @@
 		b.exec(text)
 	}
 }
+
+// Guards against a strong read that misses a commit acknowledged before it, by a sample that was requested earlier within the millisecond
+// of the read's arrival.
+func TestStrongReadNeedsASampleOfALaterMillisecond(t *testing.T) {
+	b := newTestBed(t, topology.Strong)
+	for _, statements := range [][]string{{"READ a"}, {"BEGIN READ", "READ a", "COMMIT"}} {
+		b.sampleTimes = nil
+		before := b.session.now()
+		for _, text := range statements {
+			b.exec(text)
+		}
+		for _, since := range b.sampleTimes {
+			if since <= before {
+				t.Errorf("%q: got a sample of %d ms accepted, want one later than the arrival, %d ms at the earliest", statements, since, before)
+			}
+		}
+		if len(b.sampleTimes) == 0 {
+			t.Errorf("%q: got no sample requested, want one", statements)
+		}
+	}
+}
--- a/internal/process/edge/samples.go
+++ b/internal/process/edge/samples.go
@@ -25,9 +25,8 @@
 // groupSamples holds the samples of one group.
 type groupSamples struct {
 	history placement.History
-	// requestedAt is when the pending request was sent. done is closed at its end, and nil while none is pending.
-	requestedAt clock.Millis
-	done        chan struct{}
+	// done is closed at the end of the pending request, and nil while none is pending.
+	done chan struct{}
 }
 
 func newSampler() *sampler { return &sampler{groups: make(map[group.ID]*groupSamples)} }
@@ -49,7 +48,7 @@
 }
 
 // get returns the oldest sample requested at or after since. Without one it returns the channel that closes at the end of the pending request; start tells the caller to start that request.
-func (s *sampler) get(g group.ID, since, now clock.Millis) (n placement.Sample, done chan struct{}, start bool) {
+func (s *sampler) get(g group.ID, since clock.Millis) (n placement.Sample, done chan struct{}, start bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.forGroup(g)
@@ -57,7 +56,7 @@
 		return n, nil, false
 	}
 	if e.done == nil {
-		e.done, e.requestedAt, start = make(chan struct{}), now, true
+		e.done, start = make(chan struct{}), true
 	}
 	return placement.Sample{}, e.done, start
 }
@@ -98,12 +97,12 @@
 func (d *Daemon) sample(ctx context.Context, g group.ID, since, deadline clock.Millis) (placement.Sample, error) {
 	for {
 		now := d.clk.Now()
-		n, done, start := d.samples.get(g, since, now)
+		n, done, start := d.samples.get(g, since)
 		if done == nil {
 			return n, nil
 		}
 		if start {
-			go d.samplePrimary(ctx, g)
+			go d.samplePrimary(ctx, g, since)
 		}
 		gv := d.view.Load().groups[g]
 		if now >= deadline || gv != nil && placement.ShouldFailFast(gv.outageSince(), d.failoverSince(), now) {
@@ -118,9 +117,12 @@
 	}
 }
 
-// samplePrimary requests a new sample: it has the group's primary prove its role.
-func (d *Daemon) samplePrimary(ctx context.Context, g group.ID) {
+// samplePrimary requests a new sample, at since at the earliest: it has the group's primary prove its role.
+func (d *Daemon) samplePrimary(ctx context.Context, g group.ID, since clock.Millis) {
 	defer d.samples.finish(g)
+	if wait := since - d.clk.Now(); wait > 0 && d.clk.Sleep(ctx, wait) != nil {
+		return // the waiting sessions see the end of ctx
+	}
 	gv := d.view.Load().groups[g]
 	var t *target
 	if gv != nil {
--- a/internal/request/route/choose.go
+++ b/internal/request/route/choose.go
@@ -90,7 +90,8 @@
 	lowest, ok := n.Sample.Point, n.Sample.RequestedAt != 0 && n.Sample.RequestedAt >= since
 	for i := len(v.Samples) - 1; i >= 0; i-- {
 		s := v.Samples[i]
-		if s.RequestedAt < since {
+		// Times are rounded down, so that a sample of the same millisecond may have been requested before.
+		if s.RequestedAt <= since {
 			break
 		}
 		if !ok || s.Point.Before(lowest) {
--- a/internal/request/route/choose_test.go
+++ b/internal/request/route/choose_test.go
@@ -37,7 +37,7 @@
 }
 
 func (tt *chooseCase) run(t *testing.T, kind service.Kind) {
-	v, n := baseView(), Need{Arrived: 1000, DataCentre: "local"}
+	v, n := baseView(), Need{Arrived: 999, DataCentre: "local"}
 	n.Request.Kind = kind
 	tt.change(&v.Targets[0], &v.Targets[1], &v.Targets[2], v, &n)
 	got := Choose(v, 1010, n, func(int) int { return 0 })
@@ -108,15 +108,15 @@
 		{"replicas down, primary has writes", func(_, b, c *TargetView, _ *View, _ *Need) { b.Down, c.Down = true, true }, onBusyPrimary},
 		{"floor that no replica has reached", func(_, _, _ *TargetView, _ *View, n *Need) { n.Floor = point(2, 101) }, onBusyPrimary},
 		{"floor of a term later than that of the primary", func(_, _, _ *TargetView, _ *View, n *Need) { n.Floor = point(3, 1) }, lagging},
-		{"no sample requested after the arrival", func(_, _, _ *TargetView, _ *View, n *Need) { n.Arrived = 1001 }, Choice{"", Wait, ReasonNeedsSample}},
+		{"no sample requested later than in the millisecond of the arrival", func(_, _, _ *TargetView, _ *View, n *Need) { n.Arrived = 1000 }, Choice{"", Wait, ReasonNeedsSample}},
 		{"sample requested for the read", func(_, _, _ *TargetView, _ *View, n *Need) {
 			n.Arrived, n.Sample = 1001, Sample{point(2, 100), 1001}
 		}, onB},
 		{"maximum age that allows the older sample", func(_, b, _ *TargetView, _ *View, n *Need) {
-			n.Arrived, n.Request.MaxAge, b.Status.Applied = 1001, 110, point(2, 50)
+			n.Arrived, n.Request.MaxAge, b.Status.Applied = 1001, 111, point(2, 50)
 		}, onB},
 		{"maximum age that excludes the older sample", func(_, b, _ *TargetView, _ *View, n *Need) {
-			n.Request.MaxAge, b.Status.Applied = 109, point(2, 50)
+			n.Request.MaxAge, b.Status.Applied = 110, point(2, 50)
 		}, onC},
 		{"change under way, replica fenced for the next primary", func(a, b, _ *TargetView, v *View, _ *Need) {
 			v.Changing, a.Down, b.Status.Promise, b.Status.Following = true, true, 3, ""
@@ -164,7 +164,7 @@
 func BenchmarkChoose(b *testing.B) {
 	for _, kind := range []service.Kind{service.Read, service.Write} {
 		b.Run(string(kind), func(b *testing.B) {
-			v, n := baseView(), Need{Arrived: 1000, DataCentre: "local"}
+			v, n := baseView(), Need{Arrived: 999, DataCentre: "local"}
 			n.Request.Kind = kind
 			b.ReportAllocs()
 			for b.Loop() {
