soak, edge: carry commands out late, tell the replies of a failed test

The soak's runs with synchronous commits now also have targets that leave half of the commands unanswered for a while and carry them out up to 2 s later; the store is not restored meanwhile.

--- a/internal/process/edge/daemon_test.go
+++ b/internal/process/edge/daemon_test.go
@@ -192,8 +192,18 @@
 			cb.query("WRITE a 2")
 			old := env.group.Primary()
 			tt.fault(env)
-			for _, c := range []*client{ca, cb} {
-				env.eventually("writes go on", func() bool { return standin.Completed(c.query("WRITE b 1")) })
+			replies := make(map[string]int)
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Logf("replies %v, primary %v, claim %+v, isolated %t and %t", replies, env.group.Primary(), env.claim(), a.isolated.Load(), b.isolated.Load())
+				}
+			})
+			for i, c := range []*client{ca, cb} {
+				env.eventually("writes go on", func() bool {
+					reply := c.session.Query("WRITE b 1")
+					replies[fmt.Sprintf("%d: %.60s", i, reply)]++
+					return standin.Completed(reply)
+				})
 			}
 			if p := env.group.Primary(); p == nil || p == old {
 				t.Errorf("got %v, want another primary", p)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -29,6 +29,9 @@
 	unknownTime    = 6000
 	// maxReplicaFault bounds how long a replica receives nothing, in milliseconds. Its entry may be forgotten in that time.
 	maxReplicaFault = 7000
+	// maxLateTime bounds how long targets leave commands unanswered, and maxCommandDelay how late they carry them out, in milliseconds.
+	maxLateTime     = 2500
+	maxCommandDelay = 2000
 	// maxFaultGap bounds the time between two faults of a series, in milliseconds.
 	maxFaultGap = 4000
 )
@@ -156,6 +159,36 @@
 	s.group.WriteEntries()
 }
 
+// delayCommands has targets leave half of the commands unanswered for a while, and carry these out late. The store is not restored
+// meanwhile, as that loses which of them are outstanding.
+func (s *soak) delayCommands(ctx context.Context, r *rand.Rand) {
+	if s.clk.Sleep(ctx, clock.Millis(r.IntN(3*maxFaultGap))) != nil {
+		return
+	}
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	var mu sync.Mutex // guards r: targets call the function at the same time
+	for _, t := range s.group.Targets {
+		t.SetLate(func(string) <-chan struct{} {
+			mu.Lock()
+			defer mu.Unlock()
+			if r.IntN(2) == 0 {
+				return nil
+			}
+			s.lateCommands.Add(1)
+			return s.clk.After(clock.Millis(r.IntN(maxCommandDelay)))
+		})
+	}
+	mu.Lock()
+	length := clock.Millis(r.IntN(maxLateTime))
+	mu.Unlock()
+	_ = s.clk.Sleep(ctx, length) // the end of ctx only shortens the fault
+	for _, t := range s.group.Targets {
+		t.SetLate(nil)
+	}
+	_ = s.clk.Sleep(ctx, maxCommandDelay)
+}
+
 // forgetTerm has a primary replaced that is cut off. Then the other targets are cut off and their entries expire, the first primary is
 // back with its log of the earlier term, and all daemons start again, so that none has seen the newest one. Commits of that term must
 // not be lost. It does so once a run, as the store has to stay calm meanwhile: a restore would lose what no daemon knows.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -30,7 +30,7 @@
 	Seed uint64
 	// Daemons is how many daemons run.
 	Daemons int
-	// SyncReplicas is how many replicas must have received a commit before it is acknowledged. With it, replicas fail, too.
+	// SyncReplicas is how many replicas must have received a commit before it is acknowledged. With it, replicas fail, too, and targets carry out commands late.
 	SyncReplicas int
 	// Length is how long faults occur, in milliseconds.
 	Length clock.Millis
@@ -40,7 +40,7 @@
 
 // Report tells what a run did and which rules were broken.
 type Report struct {
-	Versions, Restores, Outages, Restarts, PrimaryFaults, ReplicaFaults, ForgottenTerms int64
+	Versions, Restores, Outages, Restarts, PrimaryFaults, ReplicaFaults, ForgottenTerms, LateCommands int64
 	// Writes is how many writes were acknowledged, and Probes how often a configuration was asked for.
 	Writes, Probes int64
 	// Broken has a line for each broken rule.
@@ -58,8 +58,8 @@
 	fleet  []*daemon
 	config *operator
 
-	versions, restores, outages, restarts, primaryFaults, replicaFaults, forgottenTerms atomic.Int64
-	writes, probes                                                                      atomic.Int64
+	versions, restores, outages, restarts, primaryFaults, replicaFaults, forgottenTerms, lateCommands atomic.Int64
+	writes, probes                                                                                    atomic.Int64
 
 	// storeMu is held while the store is disturbed. storeCalmAt is when the last disturbance ended.
 	storeMu     sync.Mutex
@@ -107,7 +107,7 @@
 	work.Wait()
 	return &Report{
 		Versions: s.versions.Load(), Restores: s.restores.Load(), Outages: s.outages.Load(), Restarts: s.restarts.Load(),
-		PrimaryFaults: s.primaryFaults.Load(), ReplicaFaults: s.replicaFaults.Load(), ForgottenTerms: s.forgottenTerms.Load(), Writes: s.writes.Load(), Probes: s.probes.Load(), Broken: s.broken,
+		PrimaryFaults: s.primaryFaults.Load(), ReplicaFaults: s.replicaFaults.Load(), ForgottenTerms: s.forgottenTerms.Load(), LateCommands: s.lateCommands.Load(), Writes: s.writes.Load(), Probes: s.probes.Load(), Broken: s.broken,
 	}, nil
 }
 
@@ -117,7 +117,7 @@
 	end := s.clk.Now() + s.cfg.Length
 	series := []func(ctx context.Context, r *rand.Rand){s.disturbStore, s.restartDaemon, s.silencePrimary, s.config.change}
 	if s.cfg.SyncReplicas > 0 {
-		series = append(series, s.silenceReplica)
+		series = append(series, s.silenceReplica, s.delayCommands)
 	} else {
 		series = append(series, s.forgetTerm)
 	}
