soak: hold no limit of the store while it is disturbed

Cause: in the check. The time of the last disturbance was set as it ended, so that one in progress did not count. A run with logs: two daemons have a watch that an outage lets hang until 36.05 s, a second outage refuses calls with 429 from 35.5 s to 37.4 s, the limit of the version is judged between at about 36.8 s, and both apply a newer one at 37.55 s and 38.76 s. By the rule, limits hold once the store has been without disruption for 4 s, so that none held then.

Change: the time is set to the latest possible end as an outage begins, and to the end when it is known.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -77,6 +77,8 @@
 	defer s.storeMu.Unlock()
 	faults := []standin.Fault{{Status: http.StatusServiceUnavailable}, {Status: http.StatusTooManyRequests}, {LoseResponse: true}, {Hang: true}}
 	fault := faults[r.IntN(len(faults))]
+	// Limits do not hold while the store is disturbed; the end is set once it is known.
+	s.storeCalmAt.Store(int64(s.clk.Now() + maxOutage + 2*rewriteTime))
 	s.store.SetFault(func(*http.Request) standin.Fault { return fault })
 	s.outages.Add(1)
 	_ = s.clk.Sleep(ctx, clock.Millis(r.IntN(maxOutage))) // the end of ctx only shortens the outage
