edge, promotion: call the command by its name in comments, test a malformed claim

Comments outside platform/ speak of the resume command. A malformed claim counts each known target as one that may carry out such a command, which no test showed. No change of the program.

--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -38,7 +38,7 @@
 	catchUpTimeout = clock.Second
 	// changeRetryPause is the wait after a failed change of primary, in milliseconds.
 	changeRetryPause clock.Millis = 400
-	// resumeTimeout is how long after it was recorded a RESUME may be sent. promotion.MaxCommandDelay contains it.
+	// resumeTimeout is how long after it was recorded a resume command may be sent. promotion.MaxCommandDelay contains it.
 	resumeTimeout = clock.Second
 	// maxPromoteAttempts is how often a promotion that gets no response is requested under one claim.
 	maxPromoteAttempts = 3
@@ -59,7 +59,7 @@
 	PendingUnknown bool               `json:"pending-unknown,omitempty"`
 	// Primary is the primary that is to be replaced; empty if none is known.
 	Primary group.TargetID `json:"primary,omitempty"`
-	// Resuming are the targets that may still carry out a RESUME, by what was known when the claim was written.
+	// Resuming are the targets that may still carry out a resume command, by what was known when the claim was written.
 	Resuming []promotion.Resumption `json:"resuming,omitempty"`
 	// Era is the store's era in which the newest term is known to be complete.
 	Era store.Era `json:"era,omitempty"`
@@ -76,9 +76,9 @@
 	record claim
 	// unsettled describes the promotions under earlier claims.
 	unsettled promotion.Unsettled
-	// resumptions are the RESUMEs, under this claim and earlier ones, that targets may still carry out.
+	// resumptions are the resume commands, under this claim and earlier ones, that targets may still carry out.
 	resumptions promotion.Resumptions
-	// paused are the targets to which a PAUSE was sent under this claim.
+	// paused are the targets that were told to pause under this claim, whether they answered or not.
 	paused []*target
 	// reliable is true if the record holds all that any daemon knew before a restore of the store.
 	reliable bool
@@ -143,7 +143,7 @@
 		return id, err
 	}
 	d.settle(g.id, &c, successor, term)
-	// The promotion has ended the pause of the targets that it reached. The claim is closed before, as nothing else depends on it.
+	// The promotion may have ended the pause of its target alone. The claim is closed first, as nothing else depends on it.
 	d.resumeReplicas(ctx, g, &c, c.paused, false)
 	return id, nil
 }
@@ -370,8 +370,8 @@
 	}
 }
 
-// resumeReplicas lets targets receive again. It first writes the claim, open or closed, with a record of these RESUMEs, as a target that
-// does not answer may carry out a RESUME later, when another holder relies on a pause. Once that record is older than resumeTimeout, or
+// resumeReplicas lets targets receive again. It first writes the claim, open or closed, with a record of these commands, as a target that
+// does not answer may carry out its command later, when another holder relies on a pause. Once that record is older than resumeTimeout, or
 // if another daemon has written the claim, nothing is sent: holderKeeper resumes the targets.
 func (d *Daemon) resumeReplicas(ctx context.Context, g *groupView, c *heldClaim, targets []*target, open bool) {
 	if len(targets) == 0 {
--- a/internal/process/edge/daemon.go
+++ b/internal/process/edge/daemon.go
@@ -113,7 +113,8 @@
 	// claims holds the open claims of other daemons as last read; claimsMu guards it.
 	claimsMu sync.Mutex
 	claims   map[group.ID]observedClaim
-	// resumptions are the RESUMEs that targets may still carry out, by the claims that this daemon has read and written; claimsMu guards it.
+	// resumptions are the resume commands that targets may still carry out, by the claims that this daemon has read and written; claimsMu
+	// guards it.
 	resumptions map[group.ID]promotion.Resumptions
 	// terms holds what this daemon knows of the newest terms from the store.
 	terms *termRecord
--- a/internal/process/edge/resume_test.go
+++ b/internal/process/edge/resume_test.go
@@ -273,3 +273,20 @@
 		t.Error("got the promotion settled, want it unsettled")
 	}
 }
+
+// Guards against a daemon that relies on pauses though a malformed claim may have named resume commands.
+func TestMalformedClaimCountsAllTargetsAsResuming(t *testing.T) {
+	t.Parallel()
+	env := newSynchronousEnv(t)
+	d := env.start("front-1")
+	env.store.Set("cactusfork-claims", "g", `{"resuming":7}`)
+	c, err := d.takeClaim(t.Context(), "g")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, target := range d.view.Load().groups["g"].targets {
+		if h := target.holder(); !c.resumptions.Pending(h, d.clk.Now()+promotion.MaxCommandDelay-clock.Second) {
+			t.Errorf("got no resume command of %s pending, want one", h.ID)
+		}
+	}
+}
--- a/internal/process/edge/terms.go
+++ b/internal/process/edge/terms.go
@@ -187,7 +187,7 @@
 	return c, stored.Version, nil
 }
 
-// allResuming returns the record in which each known target of a group may carry out a RESUME.
+// allResuming returns the record in which each known target of a group may carry out a resume command.
 func (d *Daemon) allResuming(g group.ID) []promotion.Resumption {
 	gv := d.view.Load().groups[g]
 	if gv == nil {
--- a/internal/version/promotion/decide.go
+++ b/internal/version/promotion/decide.go
@@ -49,7 +49,7 @@
 	Received position.Point
 	// Receipt records what the target is known to have received, and when.
 	Receipt Receipt
-	// MayResume is true if a pause of the target may end at any time, as it has not answered an earlier RESUME.
+	// MayResume is true if a pause of the target may end at any time, as it has not answered an earlier resume command.
 	MayResume bool
 }
 
--- a/internal/version/promotion/resumption.go
+++ b/internal/version/promotion/resumption.go
@@ -10,7 +10,7 @@
 // commands up to 12 s late; the rest covers the time from the record of a command to its sending.
 const MaxCommandDelay = 13 * clock.Second
 
-// Resumption is a RESUME that a target did not answer and may still carry out, which ends any pause of that target.
+// Resumption is a resume command that a target did not answer and may still carry out, which ends any pause of that target.
 type Resumption struct {
 	Holder
 	// Order is the number of the order to that target, which no other one has.
@@ -19,7 +19,7 @@
 	Left clock.Millis `json:"left-ms"`
 }
 
-// Resumptions are the RESUMEs of a group that may still be carried out. The zero value holds none.
+// Resumptions are the resume commands of a group that may still be carried out. The zero value holds none.
 type Resumptions struct {
 	list []pendingResumption
 }
@@ -61,7 +61,7 @@
 	r.list = slices.DeleteFunc(slices.Clone(r.list), func(p pendingResumption) bool { return p.holder == h && p.order == order })
 }
 
-// Pending reports whether a target may still carry out a RESUME after now.
+// Pending reports whether a target may still carry out a resume command after now.
 func (r *Resumptions) Pending(h Holder, now clock.Millis) bool {
 	return slices.ContainsFunc(r.list, func(p pendingResumption) bool { return now < p.until && p.holder.Matches(h) })
 }
