edge: clear resume commands from the claim in time, count unanswered ones only

A recorded resume command was counted from the first read of the record, and nothing removed it: a group of which two replicas had left one unanswered an hour ago would have waited for 13 s again with its next change of primary, in each daemon that had not read it. A command that could not be sent, as to a replica that is down, or that the replica had refused, was recorded as unanswered too.

Change: the holder writes its closed claim once more when the commands have run out, unless it has been written since. Errors tell a command that was not sent, or was refused, from one without an answer; neither is recorded, and a replica to which no pause command was sent gets no resume command.

Evidence: TestExpiredResumptionsLeaveTheClaim failed before, "the record is cleared: timed out after 10s", and TestOnlyUnansweredResumptionsArePending, "g-2: got a resume command pending true, want false".

If the sender has ended, nobody clears the record, and the next change may wait for 13 s.

Comments and a test speak of a suspended daemon, as the clock does.

--- a/internal/process/edge/change.go
+++ b/internal/process/edge/change.go
@@ -78,7 +78,7 @@
 	unsettled promotion.Unsettled
 	// resumptions are the resume commands, under this claim and earlier ones, that targets may still carry out.
 	resumptions promotion.Resumptions
-	// paused are the targets that were told to pause under this claim, whether they answered or not.
+	// paused are the targets to which a pause command was sent under this claim, whether they answered or not.
 	paused []*target
 	// reliable is true if the record holds all that any daemon knew before a restore of the store.
 	reliable bool
@@ -93,6 +93,9 @@
 	errPrimaryReplied = errors.New("primary answers, no change needed")
 	// errClaimExpired means that another daemon may hold the claim by now.
 	errClaimExpired = errors.New("claim may have expired")
+	// errNotSent means that a command was not sent to its target, and errRefused that the target has answered it with an error.
+	errNotSent = errors.New("command was not sent")
+	errRefused = errors.New("target refused the command")
 	// errPromotionUnsettled means that a promotion may have been executed, or may still be.
 	errPromotionUnsettled = errors.New("promotion is unsettled")
 )
@@ -261,6 +264,21 @@
 func (d *Daemon) closeClaim(ctx context.Context, g group.ID, c *heldClaim) {
 	if err := d.writeClaim(ctx, g, c, false); err != nil {
 		d.warn("closing primary change claim failed", err)
+		return
+	}
+	if c.resumptions.End() > d.clk.Now() {
+		go d.forgetResumptions(ctx, g, *c)
+	}
+}
+
+// forgetResumptions writes a closed claim again once no recorded resume command can be carried out any more, unless the claim has been
+// written since. The next holder cannot tell how old the record is, and would wait for these commands once more.
+func (d *Daemon) forgetResumptions(ctx context.Context, g group.ID, c heldClaim) {
+	if d.clk.Sleep(ctx, c.resumptions.End()-d.clk.Now()) != nil {
+		return // the next holder waits
+	}
+	if err := d.writeClaim(ctx, g, &c, false); err != nil && !errors.Is(err, errClaimed) {
+		d.warn("clearing resume commands from claim failed", err)
 	}
 }
 
@@ -359,8 +377,10 @@
 		if members[i].Leader || members[i].Draining {
 			continue
 		}
-		c.paused = append(c.paused, t)
 		r, err := d.runCommandBefore(ctx, t, link.Command{Kind: link.Pause, Term: term}, c.expiresAt())
+		if !errors.Is(err, errNotSent) {
+			c.paused = append(c.paused, t)
+		}
 		if err != nil {
 			d.warnTarget("pausing replica failed", g.id, members[i].ID, err)
 			members[i].Draining = true
@@ -386,21 +406,24 @@
 		d.warn("replicas not resumed", err)
 		return
 	}
-	answered := make([]bool, len(targets))
+	pending := make([]bool, len(targets))
 	var wg sync.WaitGroup
 	for i, t := range targets {
 		wg.Go(func() {
 			_, err := d.runCommandBefore(ctx, t, link.Command{Kind: link.Resume}, c.takenAt+resumeTimeout)
-			if answered[i] = err == nil; err != nil {
+			if err == nil {
+				return
+			}
+			d.warnTarget("resuming replica failed", g.id, t.meta.Load().ID, err)
+			if pending[i] = !errors.Is(err, errNotSent) && !errors.Is(err, errRefused); pending[i] {
 				d.count("resumptions-unanswered")
-				d.warnTarget("resuming replica failed", g.id, t.meta.Load().ID, err)
 			}
 		})
 	}
 	wg.Wait()
 	for i, t := range targets {
-		if answered[i] {
-			c.resumptions.Answered(t.holder(), order)
+		if !pending[i] {
+			c.resumptions.Remove(t.holder(), order)
 		}
 	}
 }
@@ -460,13 +483,13 @@
 	return d.runCommandBefore(ctx, t, c, d.clk.Now()+probeTimeout)
 }
 
-// runCommandBefore is runCommand for a command that is not sent at limit or later. A daemon that stood still for longer than it may hold a
-// claim must not act beside the next holder.
+// runCommandBefore is runCommand for a command that is not sent at limit or later. A daemon that was suspended for longer than it may hold
+// a claim must not act beside the next holder.
 func (d *Daemon) runCommandBefore(ctx context.Context, t *target, c link.Command, limit clock.Millis) (link.Report, error) {
 	deadline := min(d.clk.Now()+probeTimeout, limit)
 	conn, err := t.pool.GetAny(ctx, deadline)
 	if err != nil {
-		return link.Report{}, fmt.Errorf("run command: %w", err)
+		return link.Report{}, fmt.Errorf("run command: %w: %w", errNotSent, err)
 	}
 	defer t.pool.Put(conn)
 	r, err := conn.Run(deadline, c)
@@ -475,7 +498,7 @@
 		return link.Report{}, fmt.Errorf("run command: %w", err)
 	}
 	if !r.Completed {
-		return link.Report{}, fmt.Errorf("run command: target replied %s %s", r.Code, r.Text)
+		return link.Report{}, fmt.Errorf("run command: %w: %s %s", errRefused, r.Code, r.Text)
 	}
 	report, err := platform.ParseStatus(r.Row)
 	if err != nil {
--- a/internal/process/edge/follow.go
+++ b/internal/process/edge/follow.go
@@ -114,8 +114,8 @@
 			o.Value = platform.WithoutKeys(o.Value)
 		}
 	}
-	// The last read held all changes that the store had acknowledged when it was requested. When this one arrived says nothing, as a daemon
-	// that stood still, a slow link or a slow store may have held it up.
+	// The last read held all changes that the store had acknowledged when it was requested. When this one arrived says nothing, as a
+	// suspension of the daemon, a slow link or a slow store may have delayed it.
 	u := update{objects: r.Objects, full: r.Full, since: f.syncedAt}
 	u.restored = f.version > 0 && r.Version.Era() > f.version.Era()
 	f.version = max(f.version, r.Version)
--- a/internal/process/edge/follow_test.go
+++ b/internal/process/edge/follow_test.go
@@ -182,7 +182,7 @@
 	}
 }
 
-// Guards against work for a target beyond its drain time because the news that it leaves came late: the daemon stood still, or the link or
+// Guards against work for a target beyond its drain time because the news that it leaves came late: the daemon was suspended, or the link or
 // the store was slow. A change may have occurred at any time since the request of the last read that did not show it.
 func TestChangesCountFromTheReadBefore(t *testing.T) {
 	leaving := func(v store.Version) []store.Object {
--- a/internal/process/edge/resume_test.go
+++ b/internal/process/edge/resume_test.go
@@ -95,19 +95,19 @@
 	}
 }
 
-// Guards against a daemon that stands still while it lets replicas receive again, and goes on when another daemon holds the claim.
-func TestDaemonThatStoodStillResumesNothing(t *testing.T) {
+// Guards against a daemon that is suspended while it lets replicas receive again, and goes on when another daemon holds the claim.
+func TestSuspendedDaemonResumesNothing(t *testing.T) {
 	t.Parallel()
 	env := newSynchronousEnv(t)
-	var stoodStill atomic.Int64
+	var suspended atomic.Int64
 	d := env.startWith("front-1", zap.NewNop(), func(*Settings) {}, func(d *Daemon) {
 		now := d.clk.Now
-		d.clk.Now = func() clock.Millis { return now() + clock.Millis(stoodStill.Load()) }
+		d.clk.Now = func() clock.Millis { return now() + clock.Millis(suspended.Load()) }
 	})
 	env.awaitHolders(d, "g-0 g-1 g-2")
 	woke := make(chan time.Time, 1)
 	env.group.Targets[1].SetLate(func(verb string) <-chan struct{} {
-		if verb != "RESUME" || !stoodStill.CompareAndSwap(0, int64(claimTTL+clock.Second)) {
+		if verb != "RESUME" || !suspended.CompareAndSwap(0, int64(claimTTL+clock.Second)) {
 			return nil
 		}
 		env.store.Set("cactusfork-claims", "g", `{"holder":"front-9","open":true}`)
@@ -129,12 +129,12 @@
 	case <-time.After(testTimeout):
 		t.Fatal("got no RESUME, want one")
 	}
-	// A RESUME that was on its way as the daemon stood still arrives at once.
+	// A RESUME that was on its way as the daemon was suspended arrives at once.
 	for end := time.After(time.Second); ; {
 		select {
 		case r := <-resumed:
 			if late := r.Sub(at); late > 200*time.Millisecond {
-				t.Errorf("got a RESUME %v after the daemon stood still, want none", late)
+				t.Errorf("got a RESUME %v after the daemon was suspended, want none", late)
 			}
 		case <-end:
 			return
@@ -290,3 +290,43 @@
 		}
 	}
 }
+
+// Guards against a change of primary that waits for a resume command of long ago, as the next holder cannot tell how old the record is.
+func TestExpiredResumptionsLeaveTheClaim(t *testing.T) {
+	t.Parallel()
+	env := newSynchronousEnv(t)
+	d := env.start("front-1")
+	env.awaitHolders(d, "g-0 g-1 g-2")
+	c, err := d.takeClaim(t.Context(), "g")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const left clock.Millis = 500
+	c.resumptions.Add(d.view.Load().findTarget("g", "g-1").holder(), 1, d.clk.Now()-promotion.MaxCommandDelay+left)
+	d.closeClaim(t.Context(), "g", &c)
+	if got := env.claim().Resuming; len(got) != 1 {
+		t.Fatalf("got resume commands %+v recorded, want 1", got)
+	}
+	env.eventually("the record is cleared", func() bool { got := env.claim(); return !got.Open && len(got.Resuming) == 0 })
+}
+
+// Guards against a replica that counts as one that may resume, though no resume command was sent to it or it has refused the command.
+func TestOnlyUnansweredResumptionsArePending(t *testing.T) {
+	t.Parallel()
+	env := newSynchronousEnv(t)
+	d := env.start("front-1")
+	env.awaitHolders(d, "g-0 g-1 g-2")
+	c, err := d.takeClaim(t.Context(), "g")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := d.view.Load().groups["g"]
+	unanswered(env.group.Targets[1], "RESUME")
+	env.group.Targets[2].Crash()
+	d.resumeReplicas(t.Context(), g, &c, g.replicas(), true)
+	for id, want := range map[group.TargetID]bool{"g-1": true, "g-2": false} {
+		if got := c.resumptions.Pending(g.target(id).holder(), d.clk.Now()); got != want {
+			t.Errorf("%s: got a resume command pending %t, want %t", id, got, want)
+		}
+	}
+}
--- a/internal/version/promotion/resumption.go
+++ b/internal/version/promotion/resumption.go
@@ -56,8 +56,8 @@
 	r.list = append(slices.Clone(r.list), pendingResumption{holder: h, order: order, until: now + MaxCommandDelay})
 }
 
-// Answered records that a target has answered an order, so that it is not carried out later.
-func (r *Resumptions) Answered(h Holder, order uint64) {
+// Remove removes an order that cannot be carried out later, as the target has answered it or it was not sent.
+func (r *Resumptions) Remove(h Holder, order uint64) {
 	r.list = slices.DeleteFunc(slices.Clone(r.list), func(p pendingResumption) bool { return p.holder == h && p.order == order })
 }
 
@@ -66,6 +66,15 @@
 	return slices.ContainsFunc(r.list, func(p pendingResumption) bool { return now < p.until && p.holder.Matches(h) })
 }
 
+// End returns the time from which on none is carried out any more; 0 if there is none.
+func (r *Resumptions) End() clock.Millis {
+	end := clock.Millis(0)
+	for _, p := range r.list {
+		end = max(end, p.until)
+	}
+	return end
+}
+
 // Record returns what is to be stored at now: for each target the order that may be carried out last.
 func (r *Resumptions) Record(now clock.Millis) []Resumption {
 	var record []Resumption
--- a/internal/version/promotion/resumption_test.go
+++ b/internal/version/promotion/resumption_test.go
@@ -14,7 +14,7 @@
 	r.Add(a, 1, 1000)
 	r.Add(a, 2, 5000)
 	r.Add(b, 2, 5000)
-	r.Answered(a, 2)
+	r.Remove(a, 2)
 	tests := []struct {
 		name   string
 		holder Holder
