edge: count a holder's absence from its last answer

A holder without an entry was asked once, as it was about to be dropped, and counted as gone on any error: also if it refused the question as busy or full, as a target that still receives commits may.

Change: it is asked at each check, its absence of 3 s counts from its last answer, and a refusal is an answer.

--- a/internal/process/edge/quorum.go
+++ b/internal/process/edge/quorum.go
@@ -32,7 +32,7 @@
 	maxHoldersInterval = 2 * clock.Second
 	// holdersIntervalPerDaemon is the part of that time for each daemon that checks the same group, in milliseconds.
 	holdersIntervalPerDaemon clock.Millis = 300
-	// goneTime is how long a recorded target must be unknown to this daemon before it counts as gone.
+	// goneTime is how long a recorded target must be unknown to this daemon, and not answer it, before it counts as gone.
 	goneTime = 3 * clock.Second
 	// minSettleDelay is the wait between the first two attempts of this daemon to let the stalled replicas of a group receive again. The
 	// wait doubles up to maxSettleDelay, as a replica may be cut off from its primary, and each attempt takes the claim.
@@ -62,7 +62,7 @@
 	// record and version are the record as last read or written; it has no holders before.
 	record  holdersRecord
 	version store.Version
-	// absentSince is when a recorded holder was first found to be unknown.
+	// absentSince is when a recorded holder was first found to be unknown, or when it answered last since then.
 	absentSince map[promotion.Holder]clock.Millis
 	// received holds what the replicas held at the last check, and primary what the primary held then.
 	received map[group.TargetID]position.Point
@@ -108,7 +108,7 @@
 			return
 		}
 	}
-	kept.noteAbsent(g, now)
+	kept.noteAbsent(g, now, func(h promotion.Holder) bool { return k.d.runsUnregistered(ctx, g, h, kept.record.Addresses[h.ID]) })
 	point, err := k.d.verifyPrimary(ctx, g.id, primary)
 	if err != nil {
 		return // verifyPrimary has recorded the failure
@@ -146,12 +146,12 @@
 	return r, o.Version, nil
 }
 
-// noteAbsent records since when the recorded holders have been unknown.
-func (kept *keptGroup) noteAbsent(g *groupView, now clock.Millis) {
+// noteAbsent records since when the recorded holders have been unknown and have not answered.
+func (kept *keptGroup) noteAbsent(g *groupView, now clock.Millis, answers func(promotion.Holder) bool) {
 	for _, h := range kept.record.Holders {
 		if g.hasHolder(h) {
 			delete(kept.absentSince, h)
-		} else if _, ok := kept.absentSince[h]; !ok {
+		} else if _, ok := kept.absentSince[h]; !ok || answers(h) {
 			kept.absentSince[h] = now
 		}
 	}
@@ -191,7 +191,7 @@
 	now := k.d.clk.Now()
 	gone := func(h promotion.Holder) bool {
 		since, ok := kept.absentSince[h]
-		return ok && now-since >= goneTime && !k.d.runsUnregistered(ctx, g, h, kept.record.Addresses[h.ID])
+		return ok && now-since >= goneTime
 	}
 	holders, ok := promotion.UpdateHolders(kept.record.Holders, present, gone, primary, synchronous)
 	if !ok {
@@ -233,10 +233,11 @@
 	t := d.newTarget(&topology.Target{ID: h.ID, Group: g.id, Address: address, StartedAt: h.StartedAt})
 	defer t.pool.Close()
 	_, err := d.runCommand(ctx, t, link.Command{Kind: link.Status})
-	if err == nil {
+	answers := err == nil || errors.Is(err, errRefused) || errors.Is(err, link.ErrFull)
+	if answers {
 		d.log.Info("target without an entry answers", zap.String("group", string(g.id)), zap.String("target", string(h.ID)))
 	}
-	return err == nil
+	return answers
 }
 
 // endStall lets the replicas receive again if one has received nothing since the last check although the primary was ahead then. A
--- a/internal/process/edge/quorum_test.go
+++ b/internal/process/edge/quorum_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/cactusfork/cactusfork/internal/connection/link"
 	"github.com/cactusfork/cactusfork/internal/version/group"
+	"github.com/cactusfork/cactusfork/internal/version/promotion"
+	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/platform/standin"
 )
 
@@ -137,6 +139,23 @@
 	}
 }
 
+// Guards against a holder that is dropped behind a single question without an answer, as when it is busy.
+func TestHolderIsAbsentSinceItsLastAnswer(t *testing.T) {
+	h := promotion.Holder{ID: "g-2", StartedAt: 1}
+	kept := &keptGroup{record: holdersRecord{Holders: []promotion.Holder{h}}, absentSince: make(map[promotion.Holder]clock.Millis)}
+	g := &groupView{id: "g"}
+	for _, step := range []struct {
+		now     clock.Millis
+		answers bool
+		want    clock.Millis
+	}{{1000, false, 1000}, {3000, true, 3000}, {5000, false, 3000}, {7000, true, 7000}} {
+		kept.noteAbsent(g, step.now, func(promotion.Holder) bool { return step.answers })
+		if got := kept.absentSince[h]; got != step.want {
+			t.Errorf("at %d ms: got it absent since %d ms, want %d", step.now, got, step.want)
+		}
+	}
+}
+
 // Guards against a promotion in a group of which no daemon has seen which targets may hold acknowledged commits.
 func TestNoPromotionWithoutKnownHolders(t *testing.T) {
 	env := newSynchronousEnv(t)
