soak: delay promotions, and keep the primary silent while commands are late

A promotion of the stand-in took effect at once, so that nothing could happen before it.

Change: with synchronous commits, promotions take 600 ms, and the primary is silent while targets leave commands unanswered.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cactusfork/cactusfork/pkg/clock"
 	"github.com/cactusfork/cactusfork/platform/standin"
@@ -29,9 +30,13 @@
 	unknownTime    = 6000
 	// maxReplicaFault bounds how long a replica receives nothing, in milliseconds. Its entry may be forgotten in that time.
 	maxReplicaFault = 7000
-	// maxLateTime bounds how long targets leave commands unanswered, and maxCommandDelay how late they carry them out, in milliseconds.
-	maxLateTime     = 2500
+	// minLateTime and maxLateTime bound how long targets leave commands unanswered, and maxCommandDelay how late they carry them out, in
+	// milliseconds. The primary is silent for longer than it takes to be replaced.
+	minLateTime     = 1000
+	maxLateTime     = 3500
 	maxCommandDelay = 2000
+	// promotionDelay is how long a promotion takes with synchronous commits, in milliseconds.
+	promotionDelay = 600
 	// maxFaultGap bounds the time between two faults of a series, in milliseconds.
 	maxFaultGap = 4000
 )
@@ -161,14 +166,21 @@
 	s.group.WriteEntries()
 }
 
-// delayCommands has targets leave half of the commands unanswered for a while, and carry these out late. The store is not restored
-// meanwhile, as that loses which of them are outstanding.
+// delayCommands keeps the primary from answering for a while in which targets leave half of the commands unanswered, and carry these out
+// late. The store is not restored meanwhile, as that loses which of them are outstanding.
 func (s *soak) delayCommands(ctx context.Context, r *rand.Rand) {
-	if s.clk.Sleep(ctx, clock.Millis(r.IntN(3*maxFaultGap))) != nil {
+	if s.clk.Sleep(ctx, clock.Millis(r.IntN(2*maxFaultGap))) != nil {
 		return
 	}
 	s.storeMu.Lock()
 	defer s.storeMu.Unlock()
+	s.primaryMu.Lock()
+	defer s.primaryMu.Unlock()
+	p := s.group.Primary()
+	if p == nil {
+		return
+	}
+	length := minLateTime + clock.Millis(r.IntN(maxLateTime-minLateTime))
 	var mu sync.Mutex // guards r: targets call the function at the same time
 	for _, t := range s.group.Targets {
 		t.SetLate(func(string) <-chan struct{} {
@@ -181,16 +193,29 @@
 			return s.clk.After(clock.Millis(r.IntN(maxCommandDelay)))
 		})
 	}
-	mu.Lock()
-	length := clock.Millis(r.IntN(maxLateTime))
-	mu.Unlock()
+	p.SetSilent(true)
 	_ = s.clk.Sleep(ctx, length) // the end of ctx only shortens the fault
+	p.SetSilent(false)
 	for _, t := range s.group.Targets {
 		t.SetLate(nil)
 	}
 	_ = s.clk.Sleep(ctx, maxCommandDelay)
 }
 
+// delayPromotions has each promotion take some time after it was accepted, unless a later one is accepted meanwhile.
+func (s *soak) delayPromotions(ctx context.Context) {
+	promote, accepted := s.store.Promote, atomic.Int64{}
+	s.store.Promote = func(service, id string) int {
+		n := accepted.Add(1)
+		go func() {
+			if s.clk.Sleep(ctx, promotionDelay) == nil && accepted.Load() == n {
+				promote(service, id)
+			}
+		}()
+		return http.StatusOK
+	}
+}
+
 // forgetTerm has a primary replaced that is cut off. Then the other targets are cut off and their entries expire, the first primary is
 // back with its log of the earlier term, and all daemons start again, so that none has seen the newest one. Commits of that term must
 // not be lost. It does so once a run, as the store has to stay calm meanwhile: a restore would lose what no daemon knows.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -87,6 +87,9 @@
 	defer g.Close()
 	g.SyncReplicas = cfg.SyncReplicas
 	s.group = g
+	if cfg.SyncReplicas > 0 {
+		s.delayPromotions(ctx)
+	}
 	for i := range cfg.Daemons {
 		d, err := newDaemon(ctx, s, i)
 		if err != nil {
