--- /dev/null
+++ b/review/standin-3/fleet.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// settings are the fields of the platform's settings file that the template of the deploy file uses.
+type settings map[string]string
+
+// process is one daemon, started with the command of the deploy file.
+type process struct {
+	name, caller, health string
+	// file is its settings file, and log the file of its output.
+	file, log string
+	door      *door
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
+}
+
+var placeholder = regexp.MustCompile(`\{\{([A-Za-z0-9_.]+)\}\}`)
+
+// fill fills in the template as the platform does.
+func fill(template string, s settings) (string, error) {
+	var missing []string
+	text := placeholder.ReplaceAllStringFunc(template, func(m string) string {
+		name := strings.Trim(m, "{}")
+		v, ok := s[name]
+		if !ok {
+			missing = append(missing, name)
+		}
+		return v
+	})
+	if len(missing) > 0 {
+		return "", fmt.Errorf("no value for %v", missing)
+	}
+	return text, nil
+}
+
+// freePort returns a port of the address that is free now.
+func freePort(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return strconv.Itoa(l.Addr().(*net.TCPAddr).Port), nil
+}
+
+// newProcess writes the settings of a daemon on a loopback address of its own.
+func newProcess(dir, name, zone, ip, storeAddress, dutyAddress string, d *door, more settings) (*process, error) {
+	ports := make([]string, 4)
+	for i := range ports {
+		var err error
+		if ports[i], err = freePort(ip); err != nil {
+			return nil, err
+		}
+	}
+	s := settings{
+		"NodeName": name, "Zone": zone, "Ip": ip, "ListenAddrs.Front": ip + ":" + ports[0], "ListenAddrs.Ready": ip + ":" + ports[1],
+		"InternalPorts.0": ports[2], "InternalPorts.1": ports[3], "Bounds.DrainMs": "7000", "Bounds.GraceS": "6",
+		"Bounds.ConfigApplyMs": "3000", "Bootstrap": "true", "platform.Address": storeAddress, "CloudApi.Address": dutyAddress,
+		"Limits.MemoryMb": "284", "Limits.MaxFds": "4300",
+	}
+	for k, v := range more {
+		s[k] = v
+	}
+	template, err := os.ReadFile("deploy/edge.ini.template")
+	if err != nil {
+		return nil, err
+	}
+	text, err := fill(string(template), s)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{name: name, caller: s["ListenAddrs.Front"], health: s["ListenAddrs.Ready"], door: d}
+	p.file, p.log = filepath.Join(dir, name+".ini"), filepath.Join(dir, name+".log")
+	return p, os.WriteFile(p.file, []byte(text), 0o600)
+}
+
+// start starts the daemon as the deploy file says.
+func (p *process) start() error {
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command("target/cactusfork", "edge")
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CACTUSFORK_SETTINGS=" + p.file}
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.ended = cmd, ended
+	p.mu.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		_ = out.Close()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// stop ends the process and waits for its end.
+func (p *process) stop() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// running reports whether the process has not ended.
+func (p *process) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// relay is a proxy in front of one address. While it is cut, no byte passes and new connections hang, as behind a partition.
+type relay struct {
+	l  net.Listener
+	to string
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	cut   bool
+	freed chan struct{}
+}
+
+func newRelay(to string) (*relay, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{l: l, to: to, conns: map[net.Conn]struct{}{}, freed: make(chan struct{})}
+	close(r.freed)
+	go r.accept()
+	return r, nil
+}
+
+func (r *relay) address() string { return r.l.Addr().String() }
+
+// setCut cuts the path or heals it.
+func (r *relay) setCut(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if cut == r.cut {
+		return
+	}
+	r.cut = cut
+	if cut {
+		r.freed = make(chan struct{})
+		return
+	}
+	close(r.freed)
+}
+
+// pass waits until the path is whole.
+func (r *relay) pass() {
+	for {
+		r.mu.Lock()
+		freed, cut := r.freed, r.cut
+		r.mu.Unlock()
+		if !cut {
+			return
+		}
+		<-freed
+	}
+}
+
+func (r *relay) accept() {
+	for {
+		c, err := r.l.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(c)
+	}
+}
+
+func (r *relay) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r.pass()
+	o, err := net.DialTimeout("tcp", r.to, time.Second)
+	if err != nil {
+		return
+	}
+	defer func() { _ = o.Close() }()
+	done := make(chan struct{}, 2)
+	pipe := func(to, from net.Conn) {
+		b := make([]byte, 64<<10)
+		for {
+			n, err := from.Read(b)
+			r.pass()
+			if n > 0 {
+				if _, werr := to.Write(b[:n]); werr != nil {
+					break
+				}
+			}
+			if err != nil {
+				break
+			}
+		}
+		done <- struct{}{}
+	}
+	go pipe(o, c)
+	go pipe(c, o)
+	<-done
+}
