--- a/review/standin-3/backlog.go
+++ b/review/standin-3/backlog.go
@@ -46,24 +46,12 @@
 // daemons for the route of the last change.
 func backlog(dir string, trouble bool, rec *record) (bool, error) {
 	s := newStore(historyTime)
-	svc := newService("svc", 8*time.Millisecond, rec)
-	stop := make(chan struct{})
-	defer close(stop)
+	svc := newService("svc", 0, s, rec)
+	defer close(svc.stop)
 	for i, zone := range []string{"stgo-a", "stgo-b", "rancagua"} {
-		m, err := svc.add(fmt.Sprintf("i-%d", i), zone, i == 0)
-		if err != nil {
+		if _, err := svc.add(fmt.Sprintf("i-%d", i), zone, "", i == 0, 1, nil); err != nil {
 			return false, err
 		}
-		go func() {
-			for {
-				s.set("servers", m.id, m.entry())
-				select {
-				case <-time.After(1200 * time.Millisecond):
-				case <-stop:
-					return
-				}
-			}
-		}()
 	}
 	version := 7
 	publish := func(size int, databases ...string) {
@@ -73,7 +61,7 @@
 		rec.write("operator: version %d acknowledged, %d routes", version, len(c["Routes"].([]any)))
 	}
 	publish(configBytes, "first")
-	duty := httpServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(http.StatusOK) }))
+	duty := httpServer(http.HandlerFunc(svc.promotion))
 	defer duty.Close()
 	var fleet []*process
 	var cuts []*relay
@@ -102,11 +90,11 @@
 	}
 	time.Sleep(10 * time.Second)
 	for _, p := range fleet {
-		if c, answer := connect(p.caller, "first", "c0"); c == nil {
+		c, answer := connect(p.caller, "first", "c0")
+		if c == nil {
 			return false, fmt.Errorf("%s does not serve the first configuration: %s", p.name, answer)
-		} else {
-			c.close()
 		}
+		c.close()
 	}
 	if trouble {
 		rec.say("front-talca-1 is cut off from the store for %v", cutTime)
--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"net"
-	"net/http"
 	"strings"
 	"time"
 )
@@ -58,14 +57,3 @@
 		}
 	}
 }
-
-// ready asks the Ready address as the platform does.
-func ready(address string) bool {
-	c := http.Client{Timeout: time.Second}
-	r, err := c.Get("http://" + address + "/-/readyz")
-	if err != nil {
-		return false
-	}
-	_ = r.Body.Close()
-	return r.StatusCode == http.StatusOK
-}
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -136,18 +136,6 @@
 	}
 }
 
-// running reports whether the process has not ended.
-func (p *process) running() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	select {
-	case <-p.ended:
-		return false
-	default:
-		return true
-	}
-}
-
 // relay is a proxy in front of one address. While it is cut, no byte passes and new connections hang, as behind a partition.
 type relay struct {
 	l  net.Listener
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -14,6 +14,8 @@
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(dir string, trouble bool, rec *record) (bool, error){
 	"backlog": backlog,
+	"reborn":  reborn,
+	"release": release,
 }
 
 // Exit statuses.
--- a/review/standin-3/member.go
+++ b/review/standin-3/member.go
@@ -3,43 +3,61 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
-// service is a primary and its replicas. A replica receives each commit, in order, some milliseconds behind the primary.
+const (
+	// workTime is how long a read, write or commit takes.
+	workTime = 5 * time.Millisecond
+	// replicaLag is the mean time that a commit takes to a replica, lagSpread its spread and maxLag its bound, as in the site file.
+	replicaLag = 8 * time.Millisecond
+	lagSpread  = 0.6
+	maxLag     = 48 * time.Millisecond
+	// promoteTime is how long behind its acceptance a promotion takes effect.
+	promoteTime = 600 * time.Millisecond
+	heartbeat   = 1200 * time.Millisecond
+)
+
+// service is a primary and its replicas, and the platform's call that promotes one of them.
 type service struct {
 	name string
-	// lag is how long a commit takes to a replica.
-	lag time.Duration
-	// sync is how many replicas must have received a commit before it is acknowledged.
-	sync int
-	rec  *record
+	// synchronous is how many replicas must have received a commit before it is acknowledged.
+	synchronous int
+	store       *store
+	rec         *record
+	stop        chan struct{}
 
 	mu      sync.Mutex
 	members []*member
+	// fence is the highest fencing token seen, and accepted the number of promotions accepted.
+	fence    uint64
+	accepted int
+	// promoted is told of each promotion as it takes effect, with mu held; it may be nil.
+	promoted func(m *member)
 }
 
-// member is one database server.
+// member is one database server. The mu of its service guards all that changes.
 type member struct {
-	id   string
-	zone string
-	s    *service
-	l    net.Listener
-
-	// s.mu guards the rest.
-	primary  bool
-	draining bool
+	id, zone string
+	s        *service
+	l        net.Listener
+	born     int64
+
+	primary, draining, paused, deaf, gone bool
+
 	term     int
-	// log holds the commits, each with its term; applied is how many of them reads see.
 	log      []commit
 	sequence int
 	conns    map[net.Conn]struct{}
-	runs     int
 }
 
 // commit is one commit in a log.
@@ -49,32 +67,63 @@
 	items map[string]string
 }
 
-func newService(name string, lag time.Duration, rec *record) *service {
-	return &service{name: name, lag: lag, rec: rec}
+func newService(name string, synchronous int, st *store, rec *record) *service {
+	s := &service{name: name, synchronous: synchronous, store: st, rec: rec, stop: make(chan struct{})}
+	go s.replicate()
+	return s
 }
 
-func (s *service) add(id, zone string, primary bool) (*member, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// add starts a member with a log, which registers at once. An empty address takes a free one.
+func (s *service) add(id, zone, address string, primary bool, term int, log []commit) (*member, error) {
+	return s.addLater(id, zone, address, primary, term, log, 0)
+}
+
+// addLater is add for a member that registers some time after it has begun to accept connections.
+func (s *service) addLater(id, zone, address string, primary bool, term int, log []commit, registersIn time.Duration) (*member, error) {
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	m := &member{id: id, zone: zone, s: s, l: l, primary: primary, term: 1, conns: map[net.Conn]struct{}{}}
-	s.mu.Lock()
-	for _, o := range s.members {
-		if o.primary {
-			m.term, m.log = o.term, append([]commit(nil), o.log...)
-		}
+	m := &member{
+		id: id, zone: zone, s: s, l: l, primary: primary, term: term, log: append([]commit(nil), log...), born: time.Now().UnixMilli(),
+		conns: map[net.Conn]struct{}{},
 	}
+	s.mu.Lock()
 	s.members = append(s.members, m)
 	s.mu.Unlock()
 	go m.accept()
+	time.AfterFunc(registersIn, m.beat)
 	return m, nil
 }
 
-// entry returns what the member reports to the store.
-func (m *member) entry() map[string]any {
+// leader returns the member that leads the newest term, also if it is gone; nil if none does.
+func (s *service) leader() *member {
+	var best *member
+	for _, m := range s.members {
+		if m.primary && (best == nil || m.term > best.term) {
+			best = m
+		}
+	}
+	return best
+}
+
+// beat writes the member's entry every heartbeat until it is gone.
+func (m *member) beat() {
+	for m.register() {
+		select {
+		case <-time.After(heartbeat):
+		case <-m.s.stop:
+			return
+		}
+	}
+}
+
+// register writes the member's entry, and reports whether the member still runs.
+func (m *member) register() bool {
 	m.s.mu.Lock()
-	defer m.s.mu.Unlock()
 	m.sequence++
 	role, state := "replica", "ready"
 	if m.primary {
@@ -83,13 +132,138 @@
 	if m.draining {
 		state = "draining"
 	}
-	return map[string]any{
+	entry := map[string]any{
 		"Service": m.s.name, "Address": m.l.Addr().String(), "Zone": m.zone, "Version": "v1", "Capacity": 5, "State": state,
-		"WarmupLeftMs": 0, "DbRole": role, "Sequence": m.sequence, "born": started.UnixMilli(),
+		"WarmupLeftMs": 0, "DbRole": role, "Sequence": m.sequence, "born": m.born,
+	}
+	gone := m.gone
+	m.s.mu.Unlock()
+	if !gone {
+		m.s.store.set("servers", m.id, entry)
+	}
+	return !gone
+}
+
+// end stops the member. Behind a crash its entry expires after three heartbeats of silence.
+func (m *member) end(crash bool) {
+	m.s.mu.Lock()
+	m.gone = true
+	_ = m.l.Close()
+	for c := range m.conns {
+		_ = c.Close()
+	}
+	m.s.mu.Unlock()
+	if crash {
+		time.AfterFunc(3*heartbeat, func() { m.s.store.remove("servers", m.id) })
+		return
+	}
+	m.s.store.remove("servers", m.id)
+}
+
+// replicate sends the commits of the leader to the replicas until the service stops.
+func (s *service) replicate() {
+	due := map[string]time.Time{}
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+		s.mu.Lock()
+		if p := s.leader(); p != nil && !p.gone {
+			for _, r := range s.members {
+				if r != p && !r.gone && !r.paused && !r.deaf && !r.primary {
+					r.follow(p, due)
+				}
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// follow takes over from the leader what is due, and drops what the leader does not have; s.mu is held.
+func (m *member) follow(p *member, due map[string]time.Time) {
+	n := 0
+	for n < len(m.log) && n < len(p.log) && m.log[n].id == p.log[n].id {
+		n++
+	}
+	m.log, m.term = m.log[:n], p.term
+	for ; n < len(p.log); n++ {
+		key := m.id + " " + p.log[n].id
+		if _, ok := due[key]; !ok {
+			due[key] = time.Now().Add(lag())
+		}
+		if time.Now().Before(due[key]) {
+			return
+		}
+		m.log = append(m.log, p.log[n])
+	}
+}
+
+// lag returns how long one commit takes to one replica.
+func lag() time.Duration {
+	x := math.Exp(lagSpread*rand.NormFloat64() - lagSpread*lagSpread/2)
+	return min(time.Duration(x*float64(replicaLag)), maxLag)
+}
+
+// promotion answers POST /promotion.
+func (s *service) promotion(w http.ResponseWriter, r *http.Request) {
+	var body struct{ Service, Id string }
+	fence, err := strconv.ParseUint(r.Header.Get("X-Cactusfork-Fencing-Token"), 10, 64)
+	if r.URL.Path != "/promotion" || err != nil || json.NewDecoder(r.Body).Decode(&body) != nil || body.Service != s.name {
+		w.WriteHeader(http.StatusBadRequest)
+		return
 	}
+	status := s.accept(body.Id, fence)
+	s.rec.write("platform: promotion of %s by %s, fence %d -> %d", body.Id, r.Header.Get("X-Cactusfork-Lock-Holder"), fence, status)
+	w.WriteHeader(status)
 }
 
-var started = time.Now()
+func (s *service) accept(id string, fence uint64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var m *member
+	for _, o := range s.members {
+		if o.id == id && !o.gone {
+			m = o
+		}
+	}
+	if fence < s.fence || m == nil {
+		return http.StatusConflict
+	}
+	s.fence = fence
+	if m == s.leader() {
+		return http.StatusOK
+	}
+	s.accepted++
+	number := s.accepted
+	time.AfterFunc(promoteTime, func() { s.promote(m, number) })
+	return http.StatusOK
+}
+
+// promote makes a member the leader of the next term, unless a later promotion was accepted.
+func (s *service) promote(m *member, number int) {
+	s.mu.Lock()
+	if number != s.accepted || m.gone {
+		s.mu.Unlock()
+		return
+	}
+	term := 0
+	for _, o := range s.members {
+		term = max(term, o.term)
+		o.primary, o.paused = o == m, false
+	}
+	m.term = term + 1
+	s.rec.write("platform: %s leads term %d with %d commits", m.id, m.term, len(m.log))
+	if s.promoted != nil {
+		s.promoted(m)
+	}
+	all := append([]*member(nil), s.members...)
+	s.mu.Unlock()
+	for _, o := range all {
+		o.register()
+	}
+}
 
 func (m *member) accept() {
 	for {
@@ -147,9 +321,11 @@
 		if len(f) < 3 || f[0] != "QUERY" {
 			return
 		}
-		reply, wait := m.run(s, f[1], f[2])
-		time.Sleep(wait)
-		if _, err := fmt.Fprint(c, reply); err != nil {
+		body, acknowledged := m.run(s, f[1], f[2])
+		if !acknowledged {
+			return // whether the commit is kept is not known
+		}
+		if _, err := fmt.Fprint(c, body+m.ready(s)); err != nil {
 			return
 		}
 	}
@@ -158,91 +334,101 @@
 func (m *member) ready(s *session) string {
 	m.s.mu.Lock()
 	defer m.s.mu.Unlock()
-	return m.readyLocked(s)
+	return fmt.Sprintf("READY %s %d.%d\r\n", s.state, m.term, len(m.log))
 }
 
-func (m *member) readyLocked(s *session) string {
-	return fmt.Sprintf("READY %s %d.%d\r\n", s.state, m.term, len(m.log))
+// run runs one statement. It returns false if it wrote and lost the lead before enough replicas had received the commit.
+func (m *member) run(s *session, id, text string) (string, bool) {
+	m.s.mu.Lock()
+	body, work, position := m.execute(s, id, text)
+	term := m.term
+	m.s.mu.Unlock()
+	time.Sleep(work)
+	for position > 0 && !m.received(position) {
+		m.s.mu.Lock()
+		lost := !m.primary || m.term != term || m.gone
+		m.s.mu.Unlock()
+		if lost {
+			return "", false
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return body, true
 }
 
-// run runs one statement and returns the reply, and how long the work takes.
-func (m *member) run(s *session, id, text string) (string, time.Duration) {
+// received reports whether enough replicas have received the commit at a position.
+func (m *member) received(position int) bool {
 	m.s.mu.Lock()
 	defer m.s.mu.Unlock()
-	body, work := m.execute(s, id, text)
-	return body + m.readyLocked(s), work
+	n := 0
+	for _, r := range m.s.members {
+		if r != m && !r.gone && len(r.log) >= position && r.log[position-1].id == m.log[position-1].id {
+			n++
+		}
+	}
+	return n >= m.s.synchronous
 }
 
-const workTime = 5 * time.Millisecond
-
-func (m *member) execute(s *session, id, text string) (string, time.Duration) {
+// execute executes one statement; s.mu is held. It returns the body of the answer, the time of the work and, behind a commit that
+// wrote, its position.
+func (m *member) execute(s *session, id, text string) (string, time.Duration, int) {
 	if rest, ok := strings.CutPrefix(text, "SINCE "); ok {
 		point, after, _ := strings.Cut(rest, " ")
 		t, n, _ := strings.Cut(point, ".")
 		term, _ := strconv.Atoi(t)
 		number, _ := strconv.Atoi(n)
 		if term > m.term || number > len(m.log) {
-			return "ERROR LAGGING " + m.id + "\r\n", 0
+			return "ERROR LAGGING " + m.id + "\r\n", 0, 0
 		}
 		text = after
 	}
 	if s.state == "E" && text != "ROLLBACK" {
-		return "ERROR MALFORMED\r\n", 0
+		return "ERROR MALFORMED\r\n", 0, 0
 	}
 	verb, rest, _ := strings.Cut(text, " ")
-	done := fmt.Sprintf("COMPLETE %s.%s\r\n", m.id, id)
 	if verb == "EXECUTE" {
 		name, args, _ := strings.Cut(rest, " ")
 		kind, ok := s.prepared[name]
 		if !ok {
-			return "ERROR NOSTMT " + name + "\r\n", 0
+			return "ERROR NOSTMT " + name + "\r\n", 0, 0
 		}
 		verb, rest = kind, args
 	}
-	if s.state == "T" && s.plain && verb != "ROLLBACK" && !(verb == "COMMIT" && len(s.writes) == 0) && (!m.primary || m.term != s.term) {
+	ends := verb == "ROLLBACK" || verb == "COMMIT" && len(s.writes) == 0
+	if s.state == "T" && s.plain && !ends && (!m.primary || m.term != s.term) {
 		s.state = "E"
-		return "ERROR READONLY " + m.id + "\r\n", 0
+		return "ERROR READONLY " + m.id + "\r\n", 0, 0
 	}
+	done := fmt.Sprintf("COMPLETE %s.%s\r\n", m.id, id)
 	item, data, _ := strings.Cut(rest, " ")
 	switch verb {
 	case "BEGIN":
 		plain := rest != "READ"
 		if plain && !m.primary {
-			return "ERROR READONLY " + m.id + "\r\n", 0
+			return "ERROR READONLY " + m.id + "\r\n", 0, 0
 		}
 		s.state, s.plain, s.term, s.writes = "T", plain, m.term, map[string]string{}
 	case "ROLLBACK":
 		s.state = "I"
 	case "COMMIT":
 		s.state = "I"
-		if len(s.writes) > 0 {
-			m.commit(id, s.writes)
+		if len(s.writes) == 0 {
+			return done, workTime, 0
 		}
-		return done, workTime
+		return done, workTime, m.commit(id, s.writes)
 	case "READ":
-		m.runs++
-		value := "none"
-		for _, c := range m.log {
-			if v, ok := c.items[item]; ok {
-				value = v
-			}
-		}
-		if v, ok := s.writes[item]; ok && s.state == "T" {
-			value = v
-		}
-		m.s.rec.write("member %s ran %s READ %s", m.id, id, item)
-		return "DATAROW " + value + "\r\n" + done, workTime
+		m.s.rec.write("member %s runs %s READ %s", m.id, id, item)
+		return "DATAROW " + m.value(s, item) + "\r\n" + done, workTime, 0
 	case "WRITE":
 		if !m.primary {
-			return "ERROR READONLY " + m.id + "\r\n", 0
+			return "ERROR READONLY " + m.id + "\r\n", 0, 0
 		}
-		m.s.rec.write("member %s ran %s WRITE %s", m.id, id, item)
-		if s.state == "T" {
-			s.writes[item] = data
-		} else {
-			m.commit(id, map[string]string{item: data})
+		m.s.rec.write("member %s runs %s WRITE %s", m.id, id, item)
+		if s.state != "T" {
+			return done, workTime, m.commit(id, map[string]string{item: data})
 		}
-		return done, workTime
+		s.writes[item] = data
+		return done, workTime, 0
 	case "PREPARE":
 		kind, _, _ := strings.Cut(data, " ")
 		s.prepared[item] = kind
@@ -250,28 +436,49 @@
 		delete(s.prepared, item)
 	case "RESET":
 		clear(s.prepared)
-	case "STATUS":
-		role := "replica"
-		if m.primary {
-			role = "primary"
-		}
-		return fmt.Sprintf("DATAROW %s %d %d.%d %d 0 0 %d\r\nCOMPLETE -\r\n", role, m.term, m.term, len(m.log), m.term, len(m.conns)), 0
+	case "STATUS", "PAUSE", "RESUME", "DEMOTE":
+		term, _ := strconv.Atoi(item)
+		m.obey(verb, term)
+		return m.status(), 0, 0
 	}
-	return "COMPLETE -\r\n", 0
+	return "COMPLETE -\r\n", 0, 0
 }
 
-// commit appends to the log, and sends the commit to the replicas.
-func (m *member) commit(id string, items map[string]string) {
-	c := commit{term: m.term, id: id, items: items}
-	m.log = append(m.log, c)
-	n := len(m.log)
-	time.AfterFunc(m.s.lag, func() {
-		m.s.mu.Lock()
-		defer m.s.mu.Unlock()
-		for _, r := range m.s.members {
-			if r != m && r.term == c.term && len(r.log) < n {
-				r.log = append(r.log, m.log[len(r.log):n]...)
-			}
+func (m *member) value(s *session, item string) string {
+	if v, ok := s.writes[item]; ok && s.state == "T" {
+		return v
+	}
+	for i := len(m.log) - 1; i >= 0; i-- {
+		if v, ok := m.log[i].items[item]; ok {
+			return v
 		}
-	})
+	}
+	return "none"
+}
+
+// commit appends to the log and returns the position.
+func (m *member) commit(id string, items map[string]string) int {
+	m.log = append(m.log, commit{term: m.term, id: id, items: items})
+	return len(m.log)
+}
+
+// obey carries out an order; s.mu is held.
+func (m *member) obey(verb string, term int) {
+	switch {
+	case verb == "RESUME":
+		m.paused = false
+	case verb == "PAUSE" && !m.primary && term > m.term:
+		m.paused = true
+	case verb == "DEMOTE" && m.primary && term > m.term:
+		m.primary = false
+		go m.register()
+	}
+}
+
+func (m *member) status() string {
+	role := "replica"
+	if m.primary {
+		role = "primary"
+	}
+	return fmt.Sprintf("DATAROW %s %d %d.%d %d 0 0 %d\r\nCOMPLETE -\r\n", role, m.term, m.term, len(m.log), m.term, len(m.conns))
 }
--- /dev/null
+++ b/review/standin-3/reborn.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// downAgain is how long the replica is down, with up to a second more, and primaryDown how long the primary is.
+	downAgain   = 500 * time.Millisecond
+	primaryDown = 7 * time.Second
+	// deafTime is how long the other replica receives nothing.
+	deafTime = 6500 * time.Millisecond
+	// startTime is how long behind its start, when it accepts connections, the replica writes its entry.
+	startTime = 200 * time.Millisecond
+	// rounds is how often this is done at most, and calmTime the pause behind each.
+	rounds   = 3
+	calmTime = 15 * time.Second
+	// storeAnswer is how long the store takes for an answer, as the sheet of the site says.
+	storeAnswer = 4 * time.Millisecond
+)
+
+// reborn crashes the primary and a replica of a service with SyncReplicas at the same time, while the other replica receives nothing. The
+// replica starts again under its Id soon and holds nothing of before, the primary comes back with its log 7 s later.
+func reborn(dir string, trouble bool, rec *record) (bool, error) {
+	st := newStore(historyTime)
+	svc := newService("svc", 1, st, rec)
+	defer close(svc.stop)
+	zones := []string{"stgo-a", "stgo-b", "rancagua"}
+	st.answerTime = storeAnswer
+	for i, zone := range zones {
+		if _, err := svc.add(fmt.Sprintf("i-%d", i), zone, "", i == 0, 1, nil); err != nil {
+			return false, err
+		}
+	}
+	c := configuration(7, 0, 1000, "main")
+	c["Services"].([]any)[0].(map[string]any)["SyncReplicas"] = 1
+	c["Routes"].([]any)[0].(map[string]any)["Type"] = "primary"
+	st.set("config", "main", c)
+	duty := httpServer(http.HandlerFunc(svc.promotion))
+	defer duty.Close()
+	var fleet []*process
+	for i, zone := range []string{"stgo-a", "stgo-a", "stgo-b", "stgo-b", "rancagua", "rancagua", "talca"} {
+		name := fmt.Sprintf("front-%s-%d", zone, 1+i%2)
+		d := &door{s: st, refuses: func() bool { return false }, seen: func(string, int, int) {}}
+		server := d.start()
+		defer server.Close()
+		p, err := newProcess(dir, name, zone, fmt.Sprintf("127.0.0.%d", 11+i), strings.TrimPrefix(server.URL, "http://"), strings.TrimPrefix(duty.URL, "http://"), d, nil)
+		if err != nil {
+			return false, err
+		}
+		if err := p.start(); err != nil {
+			return false, err
+		}
+		defer p.stop()
+		fleet = append(fleet, p)
+	}
+	time.Sleep(6 * time.Second)
+	// acked holds the commits that were acknowledged to a client; svc.mu guards it.
+	acked := map[string]bool{}
+	lost := 0
+	svc.promoted = func(m *member) {
+		has := map[string]bool{}
+		for _, c := range m.log {
+			has[c.id] = true
+		}
+		for id := range acked {
+			if !has[id] {
+				lost++
+				rec.say("commit %s was acknowledged and is not in the log of %s", id, m.id)
+			}
+		}
+	}
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for n := range 12 {
+		clients.Go(func() { writeSteadily(svc, fleet[n%len(fleet)], n, stop, acked) })
+	}
+	time.Sleep(6 * time.Second)
+	for round := 1; round <= rounds; round++ {
+		if trouble {
+			if err := crashTwo(svc, rec); err != nil {
+				return false, err
+			}
+		}
+		time.Sleep(calmTime)
+		svc.mu.Lock()
+		found := lost
+		svc.mu.Unlock()
+		if found > 0 {
+			break
+		}
+	}
+	close(stop)
+	clients.Wait()
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	rec.say("%d commits acknowledged, %d of them not in the log of a promoted member", len(acked), lost)
+	return lost > 0, nil
+}
+
+// crashTwo crashes the primary and a replica while the other replica receives nothing, and returns when the primary is back.
+func crashTwo(svc *service, rec *record) error {
+	svc.mu.Lock()
+	var replicas []*member
+	for _, m := range svc.members {
+		if !m.gone && !m.primary {
+			replicas = append(replicas, m)
+		}
+	}
+	primary := svc.leader()
+	svc.mu.Unlock()
+	if primary == nil || primary.gone || len(replicas) != 2 {
+		return fmt.Errorf("the service has no primary with two replicas")
+	}
+	deaf, again := replicas[0], replicas[1]
+	rec.say("%s receives nothing for %v", deaf.id, deafTime)
+	deaf.setDeaf(true)
+	time.AfterFunc(deafTime, func() { deaf.setDeaf(false) })
+	time.Sleep(500 * time.Millisecond)
+	rec.say("the primary %s and the replica %s crash", primary.id, again.id)
+	primary.halt()
+	again.halt()
+	down := downAgain + rand.N(time.Second)
+	time.Sleep(down)
+	if _, err := svc.addLater(again.id, again.zone, again.l.Addr().String(), false, 1, nil, startTime); err != nil {
+		return err
+	}
+	rec.say("%s runs again and holds nothing of before", again.id)
+	time.Sleep(primaryDown - down)
+	svc.mu.Lock()
+	leads, log, term := svc.leader() == primary, primary.log, primary.term
+	primary.primary = false
+	svc.mu.Unlock()
+	if _, err := svc.add(primary.id, primary.zone, primary.l.Addr().String(), leads, term, log); err != nil {
+		return err
+	}
+	rec.say("%s runs again with its log", primary.id)
+	return nil
+}
+
+// setDeaf keeps the member from receiving, or lets it receive again.
+func (m *member) setDeaf(deaf bool) {
+	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
+	m.deaf = deaf
+}
+
+// halt ends the process of the member; its entry stays until it expires or is written again.
+func (m *member) halt() {
+	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
+	m.gone = true
+	_ = m.l.Close()
+	for c := range m.conns {
+		_ = c.Close()
+	}
+}
+
+// writeSteadily writes in one session after the other until stop is closed, and notes what was acknowledged.
+func writeSteadily(svc *service, p *process, n int, stop chan struct{}, acked map[string]bool) {
+	for i := 0; ; i++ {
+		c, _ := connect(p.caller, "main", fmt.Sprintf("c%d-%d", n, i))
+		for ok := c != nil; ok; {
+			answer := c.query(fmt.Sprintf("WRITE x%d %d", n, i))
+			id := fmt.Sprintf("%s-%d", c.name, c.n)
+			svc.rec.write("client %s at %s: WRITE -> %s", id, p.name, answer)
+			if strings.HasPrefix(answer, "COMPLETE") {
+				svc.mu.Lock()
+				acked[id] = true
+				svc.mu.Unlock()
+			}
+			select {
+			case <-stop:
+				c.close()
+				return
+			default:
+			}
+			ok = strings.Contains(answer, "READY I")
+		}
+		if c != nil {
+			c.close()
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -15,6 +15,8 @@
 // with all changes of its kind since the revision asked for.
 type store struct {
 	history time.Duration
+	// answerTime is how long an answer takes.
+	answerTime time.Duration
 
 	mu       sync.Mutex
 	revision uint64
@@ -52,6 +54,7 @@
 
 // set writes an object whatever its revision, as the operator and the members do.
 func (s *store) set(kind, name string, spec any) {
+	time.Sleep(s.answerTime)
 	b, err := json.Marshal(spec)
 	if err != nil {
 		panic(err)
@@ -61,6 +64,15 @@
 	s.put(kind, object{Meta: meta{Name: name, Finalizers: []string{}}, Spec: b}, false)
 }
 
+// remove removes an object.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, ok := s.kinds[kind][name]; ok {
+		s.put(kind, o, true)
+	}
+}
+
 // put records a change; the caller holds s.mu.
 func (s *store) put(kind string, o object, deleted bool) object {
 	now := time.Now()
@@ -133,6 +145,7 @@
 			panic(err)
 		}
 	}
+	time.Sleep(d.s.answerTime)
 	d.seen(r.Method+" "+r.URL.RequestURI(), status, len(b))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
