--- a/review/standin-3/backlog.go
+++ b/review/standin-3/backlog.go
@@ -45,8 +45,8 @@
 // backlog cuts one daemon off from the store for 5.5 s in which the configuration changes in quick succession, and then asks both
 // daemons for the route of the last change.
 func backlog(dir string, trouble bool, rec *record) (bool, error) {
-	s := newStore(historyTime)
-	svc := newService("svc", 0, s, rec)
+	s := newStore()
+	svc := newService(0, s, rec)
 	defer close(svc.stop)
 	for i, zone := range []string{"stgo-a", "stgo-b", "rancagua"} {
 		if _, err := svc.add(fmt.Sprintf("i-%d", i), zone, "", i == 0, 1, nil); err != nil {
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -136,6 +136,34 @@
 	}
 }
 
+// startFleet starts the daemons of the site, each with an address of the store of its own. The function that it returns ends them.
+func startFleet(dir string, st *store, dutyURL string) ([]*process, func(), error) {
+	var fleet []*process
+	var ends []func()
+	stop := func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+	for i, zone := range []string{"stgo-a", "stgo-a", "stgo-b", "stgo-b", "rancagua", "rancagua", "talca"} {
+		name := fmt.Sprintf("front-%s-%d", zone, 1+i%2)
+		d := &door{s: st, refuses: func() bool { return false }, seen: func(string, int, int) {}}
+		server := d.start()
+		ends = append(ends, server.Close)
+		p, err := newProcess(dir, name, zone, fmt.Sprintf("127.0.0.%d", 11+i), strings.TrimPrefix(server.URL, "http://"), strings.TrimPrefix(dutyURL, "http://"), d, nil)
+		if err != nil {
+			return nil, stop, err
+		}
+		if err := p.start(); err != nil {
+			return nil, stop, err
+		}
+		// The process ends before its address of the store does.
+		ends = append([]func(){p.stop}, ends...)
+		fleet = append(fleet, p)
+	}
+	return fleet, stop, nil
+}
+
 // relay is a proxy in front of one address. While it is cut, no byte passes and new connections hang, as behind a partition.
 type relay struct {
 	l  net.Listener
--- a/review/standin-3/member.go
+++ b/review/standin-3/member.go
@@ -43,6 +43,8 @@
 	accepted int
 	// promoted is told of each promotion as it takes effect, with mu held; it may be nil.
 	promoted func(m *member)
+	// late decides whether a promotion is left unanswered, and sees to it that it is carried out later; it may be nil.
+	late func(id string, carryOut func()) bool
 }
 
 // member is one database server. The mu of its service guards all that changes.
@@ -67,8 +69,8 @@
 	items map[string]string
 }
 
-func newService(name string, synchronous int, st *store, rec *record) *service {
-	s := &service{name: name, synchronous: synchronous, store: st, rec: rec, stop: make(chan struct{})}
+func newService(synchronous int, st *store, rec *record) *service {
+	s := &service{name: "svc", synchronous: synchronous, store: st, rec: rec, stop: make(chan struct{})}
 	go s.replicate()
 	return s
 }
@@ -214,9 +216,20 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	status := s.accept(body.Id, fence)
-	s.rec.write("platform: promotion of %s by %s, fence %d -> %d", body.Id, r.Header.Get("X-Cactusfork-Lock-Holder"), fence, status)
-	w.WriteHeader(status)
+	holder := r.Header.Get("X-Cactusfork-Lock-Holder")
+	if s.late != nil && s.late(body.Id, func() { s.carryOut(body.Id, holder, fence) }) {
+		s.rec.say("platform: promotion of %s by %s, fence %d, is left unanswered", body.Id, holder, fence)
+		<-r.Context().Done()
+		return
+	}
+	w.WriteHeader(s.carryOut(body.Id, holder, fence))
+}
+
+// carryOut carries out a promotion and returns the status of its answer.
+func (s *service) carryOut(id, holder string, fence uint64) int {
+	status := s.accept(id, fence)
+	s.rec.say("platform: promotion of %s by %s, fence %d -> %d", id, holder, fence, status)
+	return status
 }
 
 func (s *service) accept(id string, fence uint64) int {
@@ -346,7 +359,7 @@
 	time.Sleep(work)
 	for position > 0 && !m.received(position) {
 		m.s.mu.Lock()
-		lost := !m.primary || m.term != term || m.gone
+		lost := !m.primary || m.term != term || m.gone || len(m.log) < position
 		m.s.mu.Unlock()
 		if lost {
 			return "", false
@@ -362,7 +375,7 @@
 	defer m.s.mu.Unlock()
 	n := 0
 	for _, r := range m.s.members {
-		if r != m && !r.gone && len(r.log) >= position && r.log[position-1].id == m.log[position-1].id {
+		if r != m && !r.gone && len(r.log) >= position && len(m.log) >= position && r.log[position-1].id == m.log[position-1].id {
 			n++
 		}
 	}
--- a/review/standin-3/reborn.go
+++ b/review/standin-3/reborn.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -27,8 +26,8 @@
 // reborn crashes the primary and a replica of a service with SyncReplicas at the same time, while the other replica receives nothing. The
 // replica starts again under its Id soon and holds nothing of before, the primary comes back with its log 7 s later.
 func reborn(dir string, trouble bool, rec *record) (bool, error) {
-	st := newStore(historyTime)
-	svc := newService("svc", 1, st, rec)
+	st := newStore()
+	svc := newService(1, st, rec)
 	defer close(svc.stop)
 	zones := []string{"stgo-a", "stgo-b", "rancagua"}
 	st.answerTime = storeAnswer
@@ -43,42 +42,17 @@
 	st.set("config", "main", c)
 	duty := httpServer(http.HandlerFunc(svc.promotion))
 	defer duty.Close()
-	var fleet []*process
-	for i, zone := range []string{"stgo-a", "stgo-a", "stgo-b", "stgo-b", "rancagua", "rancagua", "talca"} {
-		name := fmt.Sprintf("front-%s-%d", zone, 1+i%2)
-		d := &door{s: st, refuses: func() bool { return false }, seen: func(string, int, int) {}}
-		server := d.start()
-		defer server.Close()
-		p, err := newProcess(dir, name, zone, fmt.Sprintf("127.0.0.%d", 11+i), strings.TrimPrefix(server.URL, "http://"), strings.TrimPrefix(duty.URL, "http://"), d, nil)
-		if err != nil {
-			return false, err
-		}
-		if err := p.start(); err != nil {
-			return false, err
-		}
-		defer p.stop()
-		fleet = append(fleet, p)
+	fleet, stopFleet, err := startFleet(dir, st, duty.URL)
+	defer stopFleet()
+	if err != nil {
+		return false, err
 	}
 	time.Sleep(6 * time.Second)
-	// acked holds the commits that were acknowledged to a client; svc.mu guards it.
-	acked := map[string]bool{}
-	lost := 0
-	svc.promoted = func(m *member) {
-		has := map[string]bool{}
-		for _, c := range m.log {
-			has[c.id] = true
-		}
-		for id := range acked {
-			if !has[id] {
-				lost++
-				rec.say("commit %s was acknowledged and is not in the log of %s", id, m.id)
-			}
-		}
-	}
+	k := newLedger(svc)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for n := range 12 {
-		clients.Go(func() { writeSteadily(svc, fleet[n%len(fleet)], n, stop, acked) })
+		clients.Go(func() { k.writeSteadily(fleet[n%len(fleet)], n, stop) })
 	}
 	time.Sleep(6 * time.Second)
 	for round := 1; round <= rounds; round++ {
@@ -88,19 +62,13 @@
 			}
 		}
 		time.Sleep(calmTime)
-		svc.mu.Lock()
-		found := lost
-		svc.mu.Unlock()
-		if found > 0 {
+		if k.lostCommits() > 0 {
 			break
 		}
 	}
 	close(stop)
 	clients.Wait()
-	svc.mu.Lock()
-	defer svc.mu.Unlock()
-	rec.say("%d commits acknowledged, %d of them not in the log of a promoted member", len(acked), lost)
-	return lost > 0, nil
+	return k.report(), nil
 }
 
 // crashTwo crashes the primary and a replica while the other replica receives nothing, and returns when the primary is back.
@@ -160,35 +128,3 @@
 		_ = c.Close()
 	}
 }
-
-// writeSteadily writes in one session after the other until stop is closed, and notes what was acknowledged.
-func writeSteadily(svc *service, p *process, n int, stop chan struct{}, acked map[string]bool) {
-	for i := 0; ; i++ {
-		c, _ := connect(p.caller, "main", fmt.Sprintf("c%d-%d", n, i))
-		for ok := c != nil; ok; {
-			answer := c.query(fmt.Sprintf("WRITE x%d %d", n, i))
-			id := fmt.Sprintf("%s-%d", c.name, c.n)
-			svc.rec.write("client %s at %s: WRITE -> %s", id, p.name, answer)
-			if strings.HasPrefix(answer, "COMPLETE") {
-				svc.mu.Lock()
-				acked[id] = true
-				svc.mu.Unlock()
-			}
-			select {
-			case <-stop:
-				c.close()
-				return
-			default:
-			}
-			ok = strings.Contains(answer, "READY I")
-		}
-		if c != nil {
-			c.close()
-		}
-		select {
-		case <-stop:
-			return
-		case <-time.After(50 * time.Millisecond):
-		}
-	}
-}
--- a/review/standin-3/release.go
+++ b/review/standin-3/release.go
@@ -22,8 +22,8 @@
 // release replaces a replica of a service with SyncReplicas as planned. Some seconds later the primary is lost for good, as all machines
 // of the system lose power.
 func release(dir string, trouble bool, rec *record) (bool, error) {
-	st := newStore(historyTime)
-	svc := newService("svc", 1, st, rec)
+	st := newStore()
+	svc := newService(1, st, rec)
 	defer close(svc.stop)
 	var members []*member
 	zones := []string{"stgo-a", "stgo-b", "rancagua"}
--- /dev/null
+++ b/review/standin-3/settle.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// shortDown is how long the primary is down.
+	shortDown = 2 * time.Second
+	// maxLate is how late a promotion without an answer is carried out at most; the least is 2 s.
+	maxLate = 12 * time.Second
+	// lateFor is how long promotions are left unanswered, from the crash on.
+	lateFor = 5500 * time.Millisecond
+	// settleRounds is how often this is done at most, and settleCalm the pause behind each.
+	settleRounds = 3
+	settleCalm   = 20 * time.Second
+)
+
+// settle crashes the primary of a service with SyncReplicas for a moment, while the platform leaves promotions unanswered and carries them
+// out late.
+func settle(dir string, trouble bool, rec *record) (bool, error) {
+	st := newStore()
+	st.answerTime = storeAnswer
+	svc := newService(1, st, rec)
+	defer close(svc.stop)
+	for i, zone := range []string{"stgo-a", "stgo-b", "rancagua"} {
+		if _, err := svc.add(fmt.Sprintf("i-%d", i), zone, "", i == 0, 1, nil); err != nil {
+			return false, err
+		}
+	}
+	c := configuration(7, 0, 1000, "main")
+	c["Services"].([]any)[0].(map[string]any)["SyncReplicas"] = 1
+	c["Routes"].([]any)[0].(map[string]any)["Type"] = "primary"
+	st.set("config", "main", c)
+	duty := httpServer(http.HandlerFunc(svc.promotion))
+	defer duty.Close()
+	fleet, stopFleet, err := startFleet(dir, st, duty.URL)
+	defer stopFleet()
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(6 * time.Second)
+	k := newLedger(svc)
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for n := range 16 {
+		clients.Go(func() { k.writeSteadily(fleet[n%len(fleet)], n, stop) })
+	}
+	time.Sleep(6 * time.Second)
+	for round := 1; round <= settleRounds && k.lostCommits() == 0; round++ {
+		if trouble {
+			if err := crashBriefly(svc, rec); err != nil {
+				return false, err
+			}
+		}
+		time.Sleep(settleCalm)
+	}
+	close(stop)
+	clients.Wait()
+	return k.report(), nil
+}
+
+// crashBriefly crashes the primary for shortDown, with late promotions, and returns when it is back.
+func crashBriefly(svc *service, rec *record) error {
+	svc.mu.Lock()
+	primary := svc.leader()
+	if primary == nil || primary.gone {
+		svc.mu.Unlock()
+		return errNoPrimary
+	}
+	svc.late = latePromotions(primary.id)
+	svc.mu.Unlock()
+	rec.say("the primary %s crashes", primary.id)
+	primary.halt()
+	time.Sleep(shortDown)
+	svc.mu.Lock()
+	leads := svc.leader() == primary
+	primary.primary = false
+	svc.mu.Unlock()
+	if _, err := svc.add(primary.id, primary.zone, primary.l.Addr().String(), leads, primary.term, primary.log); err != nil {
+		return err
+	}
+	rec.say("%s runs again with its log, as primary: %v", primary.id, leads)
+	return nil
+}
+
+var errNoPrimary = errors.New("the service has no primary")
+
+// latePromotions leaves promotions without an answer for lateFor. The first one of a replica is carried out soon behind one of the primary
+// that crashed, if there is one in time, and that one 4 s behind its call. The others are carried out as late as possible.
+func latePromotions(primary string) func(id string, carryOut func()) bool {
+	begin := time.Now()
+	var mu sync.Mutex
+	var first func()
+	primaryAsked := false
+	return func(id string, carryOut func()) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if time.Since(begin) > lateFor {
+			return false
+		}
+		switch {
+		case id != primary && first == nil:
+			var once sync.Once
+			first = func() { once.Do(carryOut) }
+			time.AfterFunc(maxLate, first)
+		case id == primary && !primaryAsked && first != nil:
+			primaryAsked = true
+			time.AfterFunc(300*time.Millisecond, first)
+			time.AfterFunc(4*time.Second, carryOut)
+		default:
+			time.AfterFunc(maxLate, carryOut)
+		}
+		return true
+	}
+}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -48,8 +48,8 @@
 	Deleted bool
 }
 
-func newStore(history time.Duration) *store {
-	return &store{history: history, kinds: map[string]map[string]object{}, changed: make(chan struct{})}
+func newStore() *store {
+	return &store{history: historyTime, kinds: map[string]map[string]object{}, changed: make(chan struct{})}
 }
 
 // set writes an object whatever its revision, as the operator and the members do.
