review: stand-in for a primary that restarts, replicas that receive in a stream

A commit's way to a replica does not wait for the one before it any more, and the clients may rest between two crashes. make format lint: 0 issues.

--- a/review/standin-3/ledger.go
+++ b/review/standin-3/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -11,6 +12,8 @@
 	svc   *service
 	acked map[string]bool
 	lost  map[string]bool
+	// resting keeps the clients from writing.
+	resting atomic.Bool
 }
 
 func newLedger(svc *service) *ledger {
@@ -49,6 +52,9 @@
 // writeSteadily writes in one session after the other until stop is closed, and notes what was acknowledged.
 func (k *ledger) writeSteadily(p *process, n int, stop chan struct{}) {
 	for i := 0; ; i++ {
+		for k.resting.Load() {
+			time.Sleep(10 * time.Millisecond)
+		}
 		c, _ := connect(p.caller, "main", fmt.Sprintf("c%d-%d", n, i))
 		for ok := c != nil; ok; {
 			answer := c.query(fmt.Sprintf("WRITE x%d %d", n, i))
@@ -65,7 +71,7 @@
 				return
 			default:
 			}
-			ok = strings.Contains(answer, "READY I")
+			ok = strings.Contains(answer, "READY I") && !k.resting.Load()
 		}
 		if c != nil {
 			c.close()
@@ -77,3 +83,13 @@
 		}
 	}
 }
+
+// rest is a pause in whose second half the clients do not write for a while.
+func (k *ledger) rest(pause time.Duration) {
+	const parts, rests, last = 9, 3, 1
+	time.Sleep(pause * (parts - rests - last) / parts)
+	k.resting.Store(true)
+	time.Sleep(pause * rests / parts)
+	k.resting.Store(false)
+	time.Sleep(pause * last / parts)
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -16,6 +16,7 @@
 	"backlog": backlog,
 	"reborn":  reborn,
 	"release": release,
+	"restart": restart,
 	"settle":  settle,
 }
 
--- a/review/standin-3/member.go
+++ b/review/standin-3/member.go
@@ -190,14 +190,12 @@
 		n++
 	}
 	m.log, m.term = m.log[:n], p.term
-	for ; n < len(p.log); n++ {
-		key := m.id + " " + p.log[n].id
-		if _, ok := due[key]; !ok {
+	for i := n; i < len(p.log); i++ {
+		if key := m.id + " " + p.log[i].id; due[key].IsZero() {
 			due[key] = time.Now().Add(lag())
 		}
-		if time.Now().Before(due[key]) {
-			return
-		}
+	}
+	for ; n < len(p.log) && !time.Now().Before(due[m.id+" "+p.log[n].id]); n++ {
 		m.log = append(m.log, p.log[n])
 	}
 }
--- a/review/standin-3/reborn.go
+++ b/review/standin-3/reborn.go
@@ -61,7 +61,7 @@
 				return false, err
 			}
 		}
-		time.Sleep(calmTime)
+		k.rest(calmTime)
 		if k.lostCommits() > 0 {
 			break
 		}
--- /dev/null
+++ b/review/standin-3/restart.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// firstDown is how long the primary is down at its first crash, and between how long the service runs behind it.
+	firstDown = 4 * time.Second
+	between   = 26 * time.Second
+	// restartWriters and restartCounters are the clients that write without a pause, and those whose operations are judged.
+	restartWriters  = 24
+	restartCounters = 6
+)
+
+// restart crashes the primary of a service with SyncReplicas, which comes back with its log, while clients write steadily. Half a minute later
+// the primary of then is lost for good, as all machines of the system lose power.
+func restart(dir string, trouble bool, rec *record) (bool, error) {
+	st := newStore()
+	st.answerTime = storeAnswer
+	svc := newService(1, st, rec)
+	defer close(svc.stop)
+	for i, zone := range []string{"stgo-a", "stgo-b", "rancagua"} {
+		if _, err := svc.add(fmt.Sprintf("i-%d", i), zone, "", i == 0, 1, nil); err != nil {
+			return false, err
+		}
+	}
+	c := configuration(7, 0, 1000, "main")
+	c["Services"].([]any)[0].(map[string]any)["SyncReplicas"] = 1
+	c["Routes"].([]any)[0].(map[string]any)["Type"] = "primary"
+	st.set("config", "main", c)
+	duty := httpServer(http.HandlerFunc(svc.promotion))
+	defer duty.Close()
+	fleet, stopFleet, err := startFleet(dir, st, duty.URL)
+	defer stopFleet()
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(6 * time.Second)
+	k, l := &counter{rec: rec, fleet: fleet}, newLedger(svc)
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for n := range restartCounters {
+		clients.Go(func() { k.work(n, stop) })
+	}
+	for n := range restartWriters {
+		clients.Go(func() { l.writeSteadily(fleet[n%len(fleet)], n, stop) })
+	}
+	time.Sleep(6 * time.Second)
+	if trouble {
+		if err := crashFor(svc, firstDown, rec); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(between)
+	k.reset()
+	time.Sleep(2 * time.Second)
+	before := k.share()
+
+	for _, p := range fleet {
+		p.signal(syscall.SIGKILL)
+	}
+	rec.say("final fault: all machines of the system lose power")
+	if trouble {
+		svc.mu.Lock()
+		primary := svc.leader()
+		svc.mu.Unlock()
+		rec.say("the primary %s is lost for good", primary.id)
+		primary.end(true)
+	}
+	time.Sleep(downTime)
+	for _, p := range fleet {
+		p.stop()
+		if err := p.start(); err != nil {
+			return false, err
+		}
+	}
+	rec.say("the machines are back")
+	time.Sleep(recoveryTime)
+	k.reset()
+	time.Sleep(20 * time.Second)
+	after := k.share()
+	close(stop)
+	clients.Wait()
+	rec.say("requests served: %d %% before the final fault, %d %% of those sent later than RecoveryS after the machines were back", before, after)
+	const least = 25
+	if before < least {
+		return false, fmt.Errorf("too few requests were served before the final fault")
+	}
+	return after < least, nil
+}
--- a/review/standin-3/settle.go
+++ b/review/standin-3/settle.go
@@ -16,8 +16,8 @@
 	// lateFor is how long promotions are left unanswered, from the crash on.
 	lateFor = 5500 * time.Millisecond
 	// settleRounds is how often this is done at most, and settleCalm the pause behind each.
-	settleRounds = 3
-	settleCalm   = 20 * time.Second
+	settleRounds = 5
+	settleCalm   = 18 * time.Second
 )
 
 // settle crashes the primary of a service with SyncReplicas for a moment, while the platform leaves promotions unanswered and carries them
@@ -57,7 +57,7 @@
 				return false, err
 			}
 		}
-		time.Sleep(settleCalm)
+		k.rest(settleCalm)
 	}
 	close(stop)
 	clients.Wait()
@@ -68,20 +68,29 @@
 func crashBriefly(svc *service, rec *record) error {
 	svc.mu.Lock()
 	primary := svc.leader()
+	if primary != nil {
+		svc.late = latePromotions(primary.id)
+	}
+	svc.mu.Unlock()
+	return crashFor(svc, shortDown, rec)
+}
+
+// crashFor crashes the primary and returns when it is back with its log.
+func crashFor(svc *service, down time.Duration, rec *record) error {
+	svc.mu.Lock()
+	primary := svc.leader()
+	svc.mu.Unlock()
 	if primary == nil || primary.gone {
-		svc.mu.Unlock()
 		return errNoPrimary
 	}
-	svc.late = latePromotions(primary.id)
-	svc.mu.Unlock()
 	rec.say("the primary %s crashes", primary.id)
 	primary.halt()
-	time.Sleep(shortDown)
+	time.Sleep(down)
 	svc.mu.Lock()
-	leads := svc.leader() == primary
+	leads, log, term := svc.leader() == primary, primary.log, primary.term
 	primary.primary = false
 	svc.mu.Unlock()
-	if _, err := svc.add(primary.id, primary.zone, primary.l.Addr().String(), leads, primary.term, primary.log); err != nil {
+	if _, err := svc.add(primary.id, primary.zone, primary.l.Addr().String(), leads, term, log); err != nil {
 		return err
 	}
 	rec.say("%s runs again with its log, as primary: %v", primary.id, leads)
