--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-go build -o target/review-3/standin-3 ./review/standin-3
+cd review/standin-3
+GOFLAGS=-mod=mod GOWORK=off GOPROXY=off go build -o ../../target/review-3/standin-3 .
