--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -13,11 +13,11 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(dir string, trouble bool, rec *record) (bool, error){
-	"backlog": backlog,
-	"reborn":  reborn,
-	"release": release,
-	"restart": restart,
-	"settle":  settle,
+	"newcomer": newcomer,
+	"reborn":   reborn,
+	"release":  release,
+	"restart":  restart,
+	"settle":   settle,
 }
 
 // Exit statuses.
