--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -13,9 +13,9 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(dir string, trouble bool, rec *record) (bool, error){
+	"handover": handOver,
 	"newcomer": newcomer,
 	"reborn":   reborn,
-	"release":  release,
 	"restart":  restart,
 	"settle":   settle,
 }
--- a/review/standin-3/member.go
+++ b/review/standin-3/member.go
@@ -38,6 +38,8 @@
 
 	mu      sync.Mutex
 	members []*member
+	// source is the member whose log the others receive: the primary, or the last one if it was demoted.
+	source *member
 	// fence is the highest fencing token seen, and accepted the number of promotions accepted.
 	fence    uint64
 	accepted int
@@ -55,6 +57,8 @@
 	born     int64
 
 	primary, draining, paused, deaf, gone bool
+	// slow is how many times as late as usual commits arrive.
+	slow int
 
 	term     int
 	log      []commit
@@ -172,7 +176,12 @@
 		case <-time.After(2 * time.Millisecond):
 		}
 		s.mu.Lock()
-		if p := s.leader(); p != nil && !p.gone {
+		// What a primary that was demoted has sent still arrives.
+		p := s.leader()
+		if p == nil {
+			p = s.source
+		}
+		if s.source = p; p != nil && !p.gone {
 			for _, r := range s.members {
 				if r != p && !r.gone && !r.paused && !r.deaf && !r.primary {
 					r.follow(p, due)
@@ -192,7 +201,7 @@
 	m.log, m.term = m.log[:n], p.term
 	for i := n; i < len(p.log); i++ {
 		if key := m.id + " " + p.log[i].id; due[key].IsZero() {
-			due[key] = time.Now().Add(lag())
+			due[key] = time.Now().Add(lag() * time.Duration(max(1, m.slow)))
 		}
 	}
 	for ; n < len(p.log) && !time.Now().Before(due[m.id+" "+p.log[n].id]); n++ {
--- a/review/standin-3/restart.go
+++ b/review/standin-3/restart.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	recoveryTime = 12 * time.Second
+	// downTime is how long the machines are down at the final fault.
+	downTime = time.Second
 	// firstDown is how long the primary is down at its first crash, and between how long it runs behind that.
 	firstDown = 400 * time.Millisecond
 	between   = 3 * time.Second
--- a/review/standin-3/settle.go
+++ b/review/standin-3/settle.go
@@ -11,6 +11,8 @@
 const (
 	// shortDown is how long the primary is down.
 	shortDown = 2 * time.Second
+	// settleLate is how late the promotion of the primary is carried out.
+	settleLate = 4 * time.Second
 	// maxLate is how late a promotion without an answer is carried out at most; the least is 2 s.
 	maxLate = 12 * time.Second
 	// lateFor is how long promotions are left unanswered, from the crash on.
@@ -66,7 +68,7 @@
 	svc.mu.Lock()
 	primary := svc.leader()
 	if primary != nil {
-		svc.late = latePromotions(primary.id)
+		svc.late = latePromotions(settleLate, func(_, id string) bool { return id == primary.id })
 	}
 	svc.mu.Unlock()
 	return crashFor(svc, shortDown, rec)
@@ -96,13 +98,14 @@
 
 var errNoPrimary = errors.New("the service has no primary")
 
-// latePromotions leaves promotions without an answer for lateFor. The first one of a replica is carried out soon behind one of the primary
-// that crashed, if there is one in time, and that one 4 s behind its call. The others are carried out as late as possible.
-func latePromotions(primary string) func(id string, carryOut func()) bool {
+// latePromotions leaves promotions without an answer for lateFor. The first call is carried out soon behind the first call that contradicts
+// it, by the ids of both, and that one some time behind its call. The others are carried out as late as possible.
+func latePromotions(second time.Duration, contradicts func(first, id string) bool) func(id string, carryOut func()) bool {
 	begin := time.Now()
 	var mu sync.Mutex
+	var firstID string
 	var first func()
-	primaryAsked := false
+	contradicted := false
 	return func(id string, carryOut func()) bool {
 		mu.Lock()
 		defer mu.Unlock()
@@ -110,14 +113,14 @@
 			return false
 		}
 		switch {
-		case id != primary && first == nil:
+		case first == nil && !contradicts("", id):
 			var once sync.Once
-			first = func() { once.Do(carryOut) }
+			firstID, first = id, func() { once.Do(carryOut) }
 			time.AfterFunc(maxLate, first)
-		case id == primary && !primaryAsked && first != nil:
-			primaryAsked = true
+		case first != nil && !contradicted && contradicts(firstID, id):
+			contradicted = true
 			time.AfterFunc(300*time.Millisecond, first)
-			time.AfterFunc(4*time.Second, carryOut)
+			time.AfterFunc(second, carryOut)
 		default:
 			time.AfterFunc(maxLate, carryOut)
 		}
