--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -163,14 +163,52 @@
 	return fleet, stop, nil
 }
 
-// configuration returns the operator's configuration: one service with SyncReplicas 1 and one route, to its primary.
-func configuration() map[string]any {
-	return map[string]any{
-		"Version": 7, "Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "TxIdleMs": 3000},
-		"Routes": []any{map[string]any{
-			"Name": "r-main", "Host": "main", "PathPrefix": "/", "Type": "primary", "TimeoutMs": 1000, "SloMs": 200, "Priority": 1, "Service": "svc",
+// configuration returns the operator's configuration: services with SyncReplicas 1, each with one route to its primary, the first under the
+// name of main.
+func configuration(services ...*service) map[string]any {
+	var routes, list []any
+	for i, s := range services {
+		host := s.name
+		if i == 0 {
+			host = "main"
+		}
+		routes = append(routes, map[string]any{
+			"Name": "r-" + host, "Host": host, "PathPrefix": "/", "Type": "primary", "TimeoutMs": 1000, "SloMs": 200, "Priority": 1, "Service": s.name,
 			"Attempts": 2, "MaxStalenessMs": 1500,
-		}},
-		"Services": []any{map[string]any{"Name": "svc", "HealthPath": "/healthz", "MaxConns": 33, "Protocol": "h1", "Tls": false, "SyncReplicas": 1}},
+		})
+		list = append(list, map[string]any{
+			"Name": s.name, "HealthPath": "/healthz", "MaxConns": 33, "Protocol": "h1", "Tls": false, "SyncReplicas": 1,
+		})
+	}
+	return map[string]any{
+		"Version": 7, "Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "TxIdleMs": 3000}, "Routes": routes, "Services": list,
+	}
+}
+
+// startServices starts services of three members each, of which the first leads, and the operator's configuration of them. The ids of the first
+// service are i-0 to i-2, those of the others begin with their names. The function that it returns ends them.
+func startServices(st *store, rec *record, count int) ([]*service, func(), error) {
+	var services []*service
+	stop := func() {
+		for _, s := range services {
+			close(s.stop)
+		}
+	}
+	for n := range count {
+		name, prefix := "svc", "i"
+		if n > 0 {
+			name = fmt.Sprintf("other%d", n)
+			prefix = name
+		}
+		s := newService(name, st, rec)
+		services = append(services, s)
+		for i, zone := range []string{"stgo-a", "stgo-b", "rancagua"} {
+			first := []commit{{term: 1, id: name}}
+			if _, err := s.add(fmt.Sprintf("%s-%d", prefix, i), zone, "", i == 0, 1, first); err != nil {
+				return nil, stop, err
+			}
+		}
 	}
+	st.set("config", "main", configuration(services...))
+	return services, stop, nil
 }
--- a/review/standin-3/handover.go
+++ b/review/standin-3/handover.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -14,6 +13,8 @@
 	lateExit = time.Second
 	// handOverRounds is how often the primary is replaced at most, and handOverCalm the pause behind each.
 	handOverRounds = 4
+	// handOverOthers is the number of other services, whose primaries are replaced at the same time and whose promotions are answered at once.
+	handOverOthers = 8
 	handOverCalm   = 14 * time.Second
 	// handOverLate is how late the second promotion is carried out, slowTimes how many times as late as usual a replica receives commits for
 	// slowTime.
@@ -29,15 +30,13 @@
 func handOver(dir string, trouble bool, rec *record) (bool, error) {
 	st := newStore()
 	st.answerTime = storeAnswer
-	svc := newService(st, rec)
-	defer close(svc.stop)
-	for i, zone := range []string{"stgo-a", "stgo-b", "rancagua"} {
-		if _, err := svc.add(fmt.Sprintf("i-%d", i), zone, "", i == 0, 1, nil); err != nil {
-			return false, err
-		}
+	services, stopServices, err := startServices(st, rec, 1+handOverOthers)
+	defer stopServices()
+	if err != nil {
+		return false, err
 	}
-	st.set("config", "main", configuration())
-	duty := httpServer(http.HandlerFunc(svc.promotion))
+	svc, calls := services[0], newDuty(rec, services...)
+	duty := httpServer(calls)
 	defer duty.Close()
 	fleet, stopFleet, err := startFleet(dir, st, duty.URL)
 	defer stopFleet()
@@ -53,7 +52,19 @@
 	}
 	time.Sleep(4 * time.Second)
 	for round := 1; round <= handOverRounds && k.lostCommits() == 0; round++ {
-		if err := replacePrimary(svc, fmt.Sprintf("i-%d", 2+round), trouble, rec); err != nil {
+		calls.open()
+		time.AfterFunc(lateFor, calls.closeTime)
+		var others sync.WaitGroup
+		for _, o := range services[1:] {
+			others.Go(func() {
+				if err := replacePrimary(o, fmt.Sprintf("%s-%d", o.name, 2+round), false, rec); err != nil {
+					rec.say("%s: %v", o.name, err)
+				}
+			})
+		}
+		err := replacePrimary(svc, fmt.Sprintf("i-%d", 2+round), trouble, rec)
+		others.Wait()
+		if err != nil {
 			return false, err
 		}
 		k.rest(handOverCalm)
@@ -97,7 +108,7 @@
 	primary.register()
 	time.Sleep(drainTime + lateExit)
 	address := primary.l.Addr().String()
-	primary.end(false)
+	primary.end()
 	svc.mu.Lock()
 	log, term := primary.log, primary.term
 	svc.mu.Unlock()
--- a/review/standin-3/member.go
+++ b/review/standin-3/member.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -16,8 +15,9 @@
 )
 
 const (
-	// workTime is how long a read, write or commit takes.
+	// workTime is how long a read, write or commit occupies a slot, and capacity the number of slots of a member.
 	workTime = 5 * time.Millisecond
+	capacity = 5
 	// replicaLag is the mean time that a commit takes to a replica, lagSpread its spread and maxLag its bound, as in the site file.
 	replicaLag = 8 * time.Millisecond
 	lagSpread  = 0.6
@@ -64,6 +64,7 @@
 	log      []commit
 	sequence int
 	conns    map[net.Conn]struct{}
+	slots    chan struct{}
 }
 
 // commit is one commit in a log.
@@ -73,8 +74,8 @@
 	items map[string]string
 }
 
-func newService(st *store, rec *record) *service {
-	s := &service{name: "svc", synchronous: 1, store: st, rec: rec, stop: make(chan struct{})}
+func newService(name string, st *store, rec *record) *service {
+	s := &service{name: name, synchronous: 1, store: st, rec: rec, stop: make(chan struct{})}
 	go s.replicate()
 	return s
 }
@@ -95,7 +96,7 @@
 	}
 	m := &member{
 		id: id, zone: zone, s: s, l: l, primary: primary, term: term, log: append([]commit(nil), log...), born: time.Now().UnixMilli(),
-		conns: map[net.Conn]struct{}{},
+		conns: map[net.Conn]struct{}{}, slots: make(chan struct{}, capacity),
 	}
 	s.mu.Lock()
 	s.members = append(s.members, m)
@@ -139,7 +140,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"Service": m.s.name, "Address": m.l.Addr().String(), "Zone": m.zone, "Version": "v1", "Capacity": 5, "State": state,
+		"Service": m.s.name, "Address": m.l.Addr().String(), "Zone": m.zone, "Version": "v1", "Capacity": capacity, "State": state,
 		"WarmupLeftMs": 0, "DbRole": role, "Sequence": m.sequence, "born": m.born,
 	}
 	gone := m.gone
@@ -150,20 +151,37 @@
 	return !gone
 }
 
-// end stops the member. Behind a crash its entry expires after three heartbeats of silence.
-func (m *member) end(crash bool) {
+// end stops the member and removes its entry.
+func (m *member) end() {
+	m.stop()
+	m.s.store.remove("servers", m.id)
+}
+
+// crash stops the member. Its entry expires after three heartbeats of silence.
+func (m *member) crash() {
+	m.stop()
+	time.AfterFunc(3*heartbeat, func() {
+		m.s.mu.Lock()
+		again := false
+		for _, o := range m.s.members {
+			again = again || o.id == m.id && !o.gone
+		}
+		m.s.mu.Unlock()
+		if !again {
+			m.s.store.remove("servers", m.id)
+		}
+	})
+}
+
+// stop ends the process of the member.
+func (m *member) stop() {
 	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
 	m.gone = true
 	_ = m.l.Close()
 	for c := range m.conns {
 		_ = c.Close()
 	}
-	m.s.mu.Unlock()
-	if crash {
-		time.AfterFunc(3*heartbeat, func() { m.s.store.remove("servers", m.id) })
-		return
-	}
-	m.s.store.remove("servers", m.id)
 }
 
 // replicate sends the commits of the leader to the replicas until the service stops.
@@ -215,23 +233,6 @@
 	return min(time.Duration(x*float64(replicaLag)), maxLag)
 }
 
-// promotion answers POST /promotion.
-func (s *service) promotion(w http.ResponseWriter, r *http.Request) {
-	var body struct{ Service, Id string }
-	fence, err := strconv.ParseUint(r.Header.Get("X-Cactusfork-Fencing-Token"), 10, 64)
-	if r.URL.Path != "/promotion" || err != nil || json.NewDecoder(r.Body).Decode(&body) != nil || body.Service != s.name {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	holder := r.Header.Get("X-Cactusfork-Lock-Holder")
-	if s.late != nil && s.late(body.Id, func() { s.carryOut(body.Id, holder, fence) }) {
-		s.rec.say("platform: promotion of %s by %s, fence %d, is left unanswered", body.Id, holder, fence)
-		<-r.Context().Done()
-		return
-	}
-	w.WriteHeader(s.carryOut(body.Id, holder, fence))
-}
-
 // carryOut carries out a promotion and returns the status of its answer.
 func (s *service) carryOut(id, holder string, fence uint64) int {
 	status := s.accept(id, fence)
@@ -359,11 +360,21 @@
 
 // run runs one statement. It returns false if it wrote and lost the lead before enough replicas had received the commit.
 func (m *member) run(s *session, id, text string) (string, bool) {
+	if work(text) {
+		m.slots <- struct{}{}
+		time.Sleep(workTime)
+	}
 	m.s.mu.Lock()
-	body, work, position := m.execute(s, id, text)
+	if m.gone {
+		m.s.mu.Unlock()
+		return "", false
+	}
+	body, position := m.execute(s, id, text)
 	term := m.term
 	m.s.mu.Unlock()
-	time.Sleep(work)
+	if work(text) {
+		<-m.slots
+	}
 	for position > 0 && !m.received(position) {
 		m.s.mu.Lock()
 		lost := !m.primary || m.term != term || m.gone || len(m.log) < position
@@ -389,35 +400,44 @@
 	return n >= m.s.synchronous
 }
 
-// execute executes one statement; s.mu is held. It returns the body of the answer, the time of the work and, behind a commit that
-// wrote, its position.
-func (m *member) execute(s *session, id, text string) (string, time.Duration, int) {
+// work reports whether a statement occupies a slot.
+func work(text string) bool {
+	for _, verb := range []string{"READ ", "WRITE ", "EXECUTE ", "COMMIT", "SINCE "} {
+		if strings.HasPrefix(text, verb) {
+			return true
+		}
+	}
+	return false
+}
+
+// execute executes one statement; s.mu is held. It returns the body of the answer and, behind a commit that wrote, its position.
+func (m *member) execute(s *session, id, text string) (string, int) {
 	if rest, ok := strings.CutPrefix(text, "SINCE "); ok {
 		point, after, _ := strings.Cut(rest, " ")
 		t, n, _ := strings.Cut(point, ".")
 		term, _ := strconv.Atoi(t)
 		number, _ := strconv.Atoi(n)
 		if term > m.term || number > len(m.log) {
-			return "ERROR LAGGING " + m.id + "\r\n", 0, 0
+			return "ERROR LAGGING " + m.id + "\r\n", 0
 		}
 		text = after
 	}
 	if s.state == "E" && text != "ROLLBACK" {
-		return "ERROR MALFORMED\r\n", 0, 0
+		return "ERROR MALFORMED\r\n", 0
 	}
 	verb, rest, _ := strings.Cut(text, " ")
 	if verb == "EXECUTE" {
 		name, args, _ := strings.Cut(rest, " ")
 		kind, ok := s.prepared[name]
 		if !ok {
-			return "ERROR NOSTMT " + name + "\r\n", 0, 0
+			return "ERROR NOSTMT " + name + "\r\n", 0
 		}
 		verb, rest = kind, args
 	}
 	ends := verb == "ROLLBACK" || verb == "COMMIT" && len(s.writes) == 0
 	if s.state == "T" && s.plain && !ends && (!m.primary || m.term != s.term) {
 		s.state = "E"
-		return "ERROR READONLY " + m.id + "\r\n", 0, 0
+		return "ERROR READONLY " + m.id + "\r\n", 0
 	}
 	done := fmt.Sprintf("COMPLETE %s.%s\r\n", m.id, id)
 	item, data, _ := strings.Cut(rest, " ")
@@ -425,7 +445,7 @@
 	case "BEGIN":
 		plain := rest != "READ"
 		if plain && !m.primary {
-			return "ERROR READONLY " + m.id + "\r\n", 0, 0
+			return "ERROR READONLY " + m.id + "\r\n", 0
 		}
 		s.state, s.plain, s.term, s.writes = "T", plain, m.term, map[string]string{}
 	case "ROLLBACK":
@@ -433,22 +453,22 @@
 	case "COMMIT":
 		s.state = "I"
 		if len(s.writes) == 0 {
-			return done, workTime, 0
+			return done, 0
 		}
-		return done, workTime, m.commit(id, s.writes)
+		return done, m.commit(id, s.writes)
 	case "READ":
 		m.s.rec.write("member %s runs %s READ %s", m.id, id, item)
-		return "DATAROW " + m.value(s, item) + "\r\n" + done, workTime, 0
+		return "DATAROW " + m.value(s, item) + "\r\n" + done, 0
 	case "WRITE":
 		if !m.primary {
-			return "ERROR READONLY " + m.id + "\r\n", 0, 0
+			return "ERROR READONLY " + m.id + "\r\n", 0
 		}
 		m.s.rec.write("member %s runs %s WRITE %s", m.id, id, item)
 		if s.state != "T" {
-			return done, workTime, m.commit(id, map[string]string{item: data})
+			return done, m.commit(id, map[string]string{item: data})
 		}
 		s.writes[item] = data
-		return done, workTime, 0
+		return done, 0
 	case "PREPARE":
 		kind, _, _ := strings.Cut(data, " ")
 		s.prepared[item] = kind
@@ -459,9 +479,9 @@
 	case "STATUS", "PAUSE", "RESUME", "DEMOTE":
 		term, _ := strconv.Atoi(item)
 		m.obey(verb, term)
-		return m.status(), 0, 0
+		return m.status(), 0
 	}
-	return "COMPLETE -\r\n", 0, 0
+	return "COMPLETE -\r\n", 0
 }
 
 func (m *member) value(s *session, item string) string {
--- a/review/standin-3/newcomer.go
+++ b/review/standin-3/newcomer.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -26,15 +25,13 @@
 func newcomer(dir string, trouble bool, rec *record) (bool, error) {
 	st := newStore()
 	st.answerTime = storeAnswer
-	svc := newService(st, rec)
-	defer close(svc.stop)
-	for i, zone := range []string{"stgo-a", "stgo-b", "rancagua"} {
-		if _, err := svc.add(fmt.Sprintf("i-%d", i), zone, "", i == 0, 1, nil); err != nil {
-			return false, err
-		}
+	services, stopServices, err := startServices(st, rec, 1)
+	defer stopServices()
+	if err != nil {
+		return false, err
 	}
-	st.set("config", "main", configuration())
-	duty := httpServer(http.HandlerFunc(svc.promotion))
+	svc := services[0]
+	duty := httpServer(newDuty(rec, svc))
 	defer duty.Close()
 	fleet, stopFleet, err := startFleet(dir, st, duty.URL)
 	defer stopFleet()
@@ -115,7 +112,7 @@
 	old.register()
 	rec.say("planned: %s reports that it drains", old.id)
 	time.Sleep(drainTime + lateExit)
-	old.end(false)
+	old.end()
 	rec.say("planned: %s has ended", old.id)
 	return nil
 }
--- a/review/standin-3/reborn.go
+++ b/review/standin-3/reborn.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -27,17 +26,14 @@
 // replica starts again under its Id soon and holds nothing of before, the primary comes back with its log 7 s later.
 func reborn(dir string, trouble bool, rec *record) (bool, error) {
 	st := newStore()
-	svc := newService(st, rec)
-	defer close(svc.stop)
-	zones := []string{"stgo-a", "stgo-b", "rancagua"}
 	st.answerTime = storeAnswer
-	for i, zone := range zones {
-		if _, err := svc.add(fmt.Sprintf("i-%d", i), zone, "", i == 0, 1, nil); err != nil {
-			return false, err
-		}
+	services, stopServices, err := startServices(st, rec, 1)
+	defer stopServices()
+	if err != nil {
+		return false, err
 	}
-	st.set("config", "main", configuration())
-	duty := httpServer(http.HandlerFunc(svc.promotion))
+	svc := services[0]
+	duty := httpServer(newDuty(rec, svc))
 	defer duty.Close()
 	fleet, stopFleet, err := startFleet(dir, st, duty.URL)
 	defer stopFleet()
@@ -88,8 +84,8 @@
 	time.AfterFunc(deafTime, func() { deaf.setDeaf(false) })
 	time.Sleep(500 * time.Millisecond)
 	rec.say("the primary %s and the replica %s crash", primary.id, again.id)
-	primary.halt()
-	again.halt()
+	primary.crash()
+	again.crash()
 	down := downAgain + rand.N(time.Second)
 	time.Sleep(down)
 	if _, err := svc.addLater(again.id, again.zone, again.l.Addr().String(), false, 1, nil, startTime); err != nil {
@@ -114,14 +110,3 @@
 	defer m.s.mu.Unlock()
 	m.deaf = deaf
 }
-
-// halt ends the process of the member; its entry stays until it expires or is written again.
-func (m *member) halt() {
-	m.s.mu.Lock()
-	defer m.s.mu.Unlock()
-	m.gone = true
-	_ = m.l.Close()
-	for c := range m.conns {
-		_ = c.Close()
-	}
-}
--- a/review/standin-3/restart.go
+++ b/review/standin-3/restart.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -24,15 +23,13 @@
 func restart(dir string, trouble bool, rec *record) (bool, error) {
 	st := newStore()
 	st.answerTime = storeAnswer
-	svc := newService(st, rec)
-	defer close(svc.stop)
-	for i, zone := range []string{"stgo-a", "stgo-b", "rancagua"} {
-		if _, err := svc.add(fmt.Sprintf("i-%d", i), zone, "", i == 0, 1, nil); err != nil {
-			return false, err
-		}
+	services, stopServices, err := startServices(st, rec, 1)
+	defer stopServices()
+	if err != nil {
+		return false, err
 	}
-	st.set("config", "main", configuration())
-	duty := httpServer(http.HandlerFunc(svc.promotion))
+	svc := services[0]
+	duty := httpServer(newDuty(rec, svc))
 	defer duty.Close()
 	fleet, stopFleet, err := startFleet(dir, st, duty.URL)
 	defer stopFleet()
@@ -65,7 +62,7 @@
 		primary := svc.leader()
 		svc.mu.Unlock()
 		rec.say("the primary %s is lost for good", primary.id)
-		primary.end(true)
+		primary.crash()
 	}
 	time.Sleep(downTime)
 	for _, p := range fleet {
--- a/review/standin-3/settle.go
+++ b/review/standin-3/settle.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -19,6 +17,8 @@
 	lateFor = 5500 * time.Millisecond
 	// settleRounds is how often this is done at most, and settleCalm the pause behind each.
 	settleRounds = 5
+	// settleOthers is the number of other services, whose primaries crash at the same time and whose promotions are answered at once.
+	settleOthers = 8
 	settleCalm   = 18 * time.Second
 )
 
@@ -27,15 +27,13 @@
 func settle(dir string, trouble bool, rec *record) (bool, error) {
 	st := newStore()
 	st.answerTime = storeAnswer
-	svc := newService(st, rec)
-	defer close(svc.stop)
-	for i, zone := range []string{"stgo-a", "stgo-b", "rancagua"} {
-		if _, err := svc.add(fmt.Sprintf("i-%d", i), zone, "", i == 0, 1, nil); err != nil {
-			return false, err
-		}
+	services, stopServices, err := startServices(st, rec, 1+settleOthers)
+	defer stopServices()
+	if err != nil {
+		return false, err
 	}
-	st.set("config", "main", configuration())
-	duty := httpServer(http.HandlerFunc(svc.promotion))
+	svc, calls := services[0], newDuty(rec, services...)
+	duty := httpServer(calls)
 	defer duty.Close()
 	fleet, stopFleet, err := startFleet(dir, st, duty.URL)
 	defer stopFleet()
@@ -52,9 +50,21 @@
 	time.Sleep(6 * time.Second)
 	for round := 1; round <= settleRounds && k.lostCommits() == 0; round++ {
 		if trouble {
-			if err := crashBriefly(svc, rec); err != nil {
+			calls.open()
+			var others sync.WaitGroup
+			for _, o := range services[1:] {
+				others.Go(func() {
+					if err := crashFor(o, shortDown, rec); err != nil {
+						rec.say("%s: %v", o.name, err)
+					}
+				})
+			}
+			err := crashBriefly(svc, rec)
+			others.Wait()
+			if err != nil {
 				return false, err
 			}
+			time.AfterFunc(lateFor, calls.closeTime)
 		}
 		k.rest(settleCalm)
 	}
@@ -83,7 +93,7 @@
 		return errNoPrimary
 	}
 	rec.say("the primary %s crashes", primary.id)
-	primary.halt()
+	primary.crash()
 	time.Sleep(down)
 	svc.mu.Lock()
 	leads, log, term := svc.leader() == primary, primary.log, primary.term
